--- a/command/entry.go
+++ b/command/entry.go
@@ -6,7 +6,7 @@
 
 	"marjoramlug.example/marjoramlug/entry"
 	"marjoramlug.example/marjoramlug/kernel"
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 	"marjoramlug.example/marjoramlug/settings"
 	"marjoramlug.example/marjoramlug/telemetry"
 )
@@ -38,7 +38,7 @@
 }
 
 func newEntry(path string, file *settings.File) (*entry.Entry, error) {
-	opener, err := kernel.Load[platform.Opener](kernel.ModuleID("log." + file.Entry.Platform.Log))
+	opener, err := kernel.Load[sharedlog.Opener](kernel.ModuleID("log." + file.Entry.Platform.Log))
 	if err != nil {
 		return nil, err
 	}
--- a/config/cursor.go
+++ b/config/cursor.go
@@ -1,6 +1,6 @@
 package config
 
-import "marjoramlug.example/marjoramlug/platform"
+import "marjoramlug.example/marjoramlug/sharedlog"
 
 // Cursor tracks how far a reader of the log has come and whether its state is
 // complete. Invariants: Applied never decreases, and every record up to
@@ -11,22 +11,22 @@
 // record or beyond. It takes the snapshot's state and reads on after Covered,
 // thus some records for a second time.
 type Cursor struct {
-	applied platform.Offset
+	applied sharedlog.Offset
 	// scanned is the offset of the last record looked at since the gap, and
 	// gapEnd the first one; both are 0 while there is no gap.
-	gapEnd, scanned platform.Offset
+	gapEnd, scanned sharedlog.Offset
 	began           bool
 }
 
 // Applied is the offset of the last record in the reader's state.
-func (c *Cursor) Applied() platform.Offset { return c.applied }
+func (c *Cursor) Applied() sharedlog.Offset { return c.applied }
 
 // Complete reports whether the state holds everything up to Applied. Before
 // the first record or snapshot nothing is known.
 func (c *Cursor) Complete() bool { return c.began && c.gapEnd == 0 }
 
 // Next is the offset to read next.
-func (c *Cursor) Next() platform.Offset {
+func (c *Cursor) Next() sharedlog.Offset {
 	if c.gapEnd > 0 {
 		return c.scanned + 1
 	}
@@ -35,14 +35,14 @@
 
 // Trimmed notes that the log no longer holds the record at Next and that first
 // is the oldest one kept.
-func (c *Cursor) Trimmed(first platform.Offset) {
+func (c *Cursor) Trimmed(first sharedlog.Offset) {
 	c.gapEnd = first
 	c.scanned = first - 1
 }
 
 // Read notes the record at offset, which must be Next, and reports whether it
 // is to be applied to the state.
-func (c *Cursor) Read(offset platform.Offset) bool {
+func (c *Cursor) Read(offset sharedlog.Offset) bool {
 	if offset != c.Next() {
 		return false
 	}
@@ -61,7 +61,7 @@
 
 // Adopt reports whether the state of a snapshot that covers the given offset is
 // to replace the reader's state, and notes it.
-func (c *Cursor) Adopt(covered platform.Offset) bool {
+func (c *Cursor) Adopt(covered sharedlog.Offset) bool {
 	if c.began && covered <= c.applied {
 		return false
 	}
--- a/config/fuzz_test.go
+++ b/config/fuzz_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"marjoramlug.example/marjoramlug/config"
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 	"marjoramlug.example/marjoramlug/plugin/log/memory"
 )
 
@@ -42,7 +42,7 @@
 	// accepted holds the revisions that an operator was told to be accepted.
 	accepted map[string]config.Revision
 	// encoded holds the encoding of the complete state at each offset.
-	encoded map[platform.Offset]string
+	encoded map[sharedlog.Offset]string
 	ids     int
 }
 
@@ -53,7 +53,7 @@
 		log:      memory.New(memory.Options{}),
 		readers:  []*reader{newReader(config.SchemaV1), newReader(config.SchemaV2)},
 		accepted: map[string]config.Revision{},
-		encoded:  map[platform.Offset]string{},
+		encoded:  map[sharedlog.Offset]string{},
 	}
 }
 
@@ -98,12 +98,12 @@
 	case 2:
 		m.log.SetFaults(memory.Faults{LostAppends: 1})
 	}
-	data, err := platform.Seal(platform.KindConfig, r)
+	data, err := sharedlog.Seal(sharedlog.KindConfig, r)
 	if err != nil {
 		t.Fatal(err)
 	}
 	_, err = m.log.Append(context.Background(), data)
-	if errors.Is(err, platform.ErrUnknown) {
+	if errors.Is(err, sharedlog.ErrUnknown) {
 		m.attempts = append(m.attempts, r)
 	}
 	if fault != 2 {
@@ -113,11 +113,11 @@
 
 // other writes a record that is no change of configuration.
 func (m *machine) other(t *rapid.T) {
-	m.raw(t, platform.KindOwnership, 0)
+	m.raw(t, sharedlog.KindOwnership, 0)
 }
 
-func (m *machine) raw(t *rapid.T, kind platform.RecordKind, body any) {
-	data, err := platform.Seal(kind, body)
+func (m *machine) raw(t *rapid.T, kind sharedlog.RecordKind, body any) {
+	data, err := sharedlog.Seal(kind, body)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -153,7 +153,7 @@
 	if len(m.held) == 0 {
 		t.Skip("no snapshot held")
 	}
-	m.raw(t, platform.KindSnapshot, rapid.SampledFrom(m.held).Draw(t, "snapshot"))
+	m.raw(t, sharedlog.KindSnapshot, rapid.SampledFrom(m.held).Draw(t, "snapshot"))
 }
 
 func (m *machine) trim(t *rapid.T) {
@@ -161,7 +161,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	m.log.Trim(bounds.First + platform.Offset(rapid.IntRange(1, 6).Draw(t, "dropped")))
+	m.log.Trim(bounds.First + sharedlog.Offset(rapid.IntRange(1, 6).Draw(t, "dropped")))
 }
 
 // replace starts a process anew: it knows nothing.
@@ -201,7 +201,7 @@
 
 func (m *machine) readFrom(t *rapid.T, r *reader, limit int) {
 	records, err := m.log.Read(context.Background(), r.cursor.Next(), limit)
-	if errors.Is(err, platform.ErrTrimmed) {
+	if errors.Is(err, sharedlog.ErrTrimmed) {
 		bounds, _ := m.log.Bounds(context.Background())
 		r.cursor.Trimmed(bounds.First)
 		return
@@ -217,22 +217,22 @@
 	}
 }
 
-func (m *machine) step(t *rapid.T, r *reader, record platform.Record) {
-	kind, body, err := platform.Unseal(record.Data)
+func (m *machine) step(t *rapid.T, r *reader, record sharedlog.Record) {
+	kind, body, err := sharedlog.Unseal(record.Data)
 	if err != nil {
 		t.Fatal(err)
 	}
 	apply := r.cursor.Read(record.Offset)
 	switch {
-	case kind == platform.KindSnapshot:
+	case kind == sharedlog.KindSnapshot:
 		var data []byte
-		if err := platform.DecodeBody(body, &data); err != nil {
+		if err := sharedlog.DecodeBody(body, &data); err != nil {
 			t.Fatal(err)
 		}
 		m.adopt(t, r, data)
-	case kind == platform.KindConfig && apply:
+	case kind == sharedlog.KindConfig && apply:
 		var change config.Record
-		if err := platform.DecodeBody(body, &change); err != nil {
+		if err := sharedlog.DecodeBody(body, &change); err != nil {
 			t.Fatal(err)
 		}
 		m.answer(t, change, r.state.Apply(record.Offset, change))
@@ -355,7 +355,7 @@
 	}
 	for _, r := range m.readers {
 		if r.cursor.Complete() && r.cursor.Next() >= bounds.First {
-			m.raw(t, platform.KindSnapshot, m.snapshot(t, r))
+			m.raw(t, sharedlog.KindSnapshot, m.snapshot(t, r))
 			m.readToEnd(t)
 			return
 		}
@@ -363,7 +363,7 @@
 }
 
 func (m *machine) readToEnd(t *rapid.T) {
-	end := platform.Offset(len(m.written)) + 1
+	end := sharedlog.Offset(len(m.written)) + 1
 	for _, r := range m.readers {
 		// Each record is read at most once before a snapshot and once after it.
 		for range 2 * end {
--- a/config/record.go
+++ b/config/record.go
@@ -1,12 +1,12 @@
 package config
 
 import (
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 // Revision identifies one accepted version of a service's configuration: the
 // offset of the record that set it. Zero stands for "does not exist".
-type Revision = platform.Offset
+type Revision = sharedlog.Offset
 
 // Record is an operator's change of one service. Whether it wins depends on
 // Service and Expect alone, never on the body, so that processes of different
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -9,14 +9,14 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 // Snapshot is the folded state of the log up to and including the record at
 // Covered. It lets a reader begin after records that the log has dropped. Both
 // states are compressed when the snapshot is encoded.
 type Snapshot struct {
-	Covered platform.Offset
+	Covered sharedlog.Offset
 	// Config is an encoded State.
 	Config []byte
 	// Ownership is the encoded state of the ownership records.
@@ -29,7 +29,7 @@
 
 // encodedSnapshot is a Snapshot as it stands in the log.
 type encodedSnapshot struct {
-	Covered   platform.Offset `cbor:"1,keyasint"`
+	Covered   sharedlog.Offset `cbor:"1,keyasint"`
 	Config    []byte          `cbor:"2,keyasint,omitempty"`
 	Ownership []byte          `cbor:"3,keyasint,omitempty"`
 }
--- a/config/state.go
+++ b/config/state.go
@@ -5,7 +5,7 @@
 	"maps"
 	"slices"
 
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 // Bounds of what a state remembers beside the services themselves. They are
@@ -52,7 +52,7 @@
 	// schema is the newest version that this reader understands. It has no
 	// influence on which record wins nor on what is encoded.
 	schema   int
-	applied  platform.Offset
+	applied  sharedlog.Offset
 	services map[string]*service
 	// outcomes and order hold the newest records' outcomes in log order.
 	outcomes map[string]Outcome
@@ -93,15 +93,15 @@
 }
 
 // Applied is the offset of the last record that the state covers.
-func (s *State) Applied() platform.Offset { return s.applied }
+func (s *State) Applied() sharedlog.Offset { return s.applied }
 
 // Advance notes that the record at offset is of no concern to the
 // configuration.
-func (s *State) Advance(offset platform.Offset) { s.applied = max(s.applied, offset) }
+func (s *State) Advance(offset sharedlog.Offset) { s.applied = max(s.applied, offset) }
 
 // Apply folds the record at offset into the state and returns its outcome. An
 // offset that the state already covers changes nothing.
-func (s *State) Apply(offset platform.Offset, r Record) Outcome {
+func (s *State) Apply(offset sharedlog.Offset, r Record) Outcome {
 	if known, ok := s.outcomes[r.ID]; ok {
 		s.Advance(offset)
 		return known
@@ -120,7 +120,7 @@
 
 // decide says whether a record wins. It looks at the service's name and the
 // expected revision alone.
-func (s *State) decide(offset platform.Offset, r Record) Outcome {
+func (s *State) decide(offset sharedlog.Offset, r Record) Outcome {
 	current := s.Revision(r.Service)
 	if r.Service != "" && r.Expect == current {
 		return Outcome{Accepted: true, Revision: offset}
@@ -134,7 +134,7 @@
 	return outcome
 }
 
-func (s *State) accept(offset platform.Offset, r Record) {
+func (s *State) accept(offset sharedlog.Offset, r Record) {
 	known := s.services[r.Service]
 	if known == nil {
 		known = new(service)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,7 +16,7 @@
 	"marjoramlug.example/marjoramlug/dispatch"
 	"marjoramlug.example/marjoramlug/message"
 	"marjoramlug.example/marjoramlug/ownership"
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 	"marjoramlug.example/marjoramlug/settings"
 	"marjoramlug.example/marjoramlug/telemetry"
 	"marjoramlug.example/marjoramlug/transport"
@@ -34,7 +34,7 @@
 type Options struct {
 	Network transport.Network
 	// Log is the platform's log.
-	Log     platform.Log
+	Log     sharedlog.Log
 	Metrics *telemetry.Registry
 	Logger  *log.Logger
 	// Version is told to peers.
--- a/entry/observer.go
+++ b/entry/observer.go
@@ -7,7 +7,7 @@
 	"marjoramlug.example/marjoramlug/dispatch"
 	"marjoramlug.example/marjoramlug/message"
 	"marjoramlug.example/marjoramlug/ownership"
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 	"marjoramlug.example/marjoramlug/replica"
 )
 
@@ -75,7 +75,7 @@
 func (o observer) ViewChanged(generation uint64) { o.sessions.viewChanged(generation) }
 
 // newReplica builds the follower of the platform's log.
-func (e *Entry) newReplica(log platform.Log) *replica.Replica {
+func (e *Entry) newReplica(log sharedlog.Log) *replica.Replica {
 	return replica.New(replica.Options{
 		Self:      e.self,
 		Log:       log,
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -18,7 +18,7 @@
 // may only point down, or stay within its folder.
 var layers = []string{
 	"e2e", "cmd", "command", "load", "embedded", "standin", "entry", "agent", "api", "replica", "plugin",
-	"dispatch", "ownership", "membership", "config", "platform", "transport", "telemetry",
+	"dispatch", "ownership", "membership", "config", "sharedlog", "transport", "telemetry",
 	"message", "settings", "validation", "verdict", "kernel",
 }
 
--- a/load/slopes/coordination.go
+++ b/load/slopes/coordination.go
@@ -9,7 +9,7 @@
 	"marjoramlug.example/marjoramlug/config"
 	"marjoramlug.example/marjoramlug/membership"
 	"marjoramlug.example/marjoramlug/ownership"
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 // changesPerService fills a service's history.
@@ -30,7 +30,7 @@
 // ownershipState folds services with one owner each and members with leases.
 func ownershipState(services, members, agents int) *ownership.State {
 	s := ownership.NewState()
-	next := func() platform.Offset { return s.Applied() + 1 }
+	next := func() sharedlog.Offset { return s.Applied() + 1 }
 	for i := range members {
 		s.Apply(next(), ownership.Record{Type: ownership.RecordJoin, Member: member(i), Seq: 1})
 	}
@@ -74,7 +74,7 @@
 			s.Apply(s.Applied()+1, ownership.Record{Type: ownership.RecordJoin, Member: member(newcomer), Applied: s.Applied(), Seq: 1})
 			s.Apply(s.Applied()+1, ownership.Record{Type: ownership.RecordLeave, Member: ownership.Member{ID: member(newcomer).ID}})
 		})))
-		record, err := platform.Seal(platform.KindOwnership, renewal(s, 1, 1_000_000))
+		record, err := sharedlog.Seal(sharedlog.KindOwnership, renewal(s, 1, 1_000_000))
 		if err != nil {
 			return err
 		}
@@ -194,7 +194,7 @@
 		if err != nil {
 			return err
 		}
-		sealed, err := platform.Seal(platform.KindConfig, change)
+		sealed, err := sharedlog.Seal(sharedlog.KindConfig, change)
 		if err != nil {
 			return err
 		}
@@ -215,7 +215,7 @@
 		if err != nil {
 			return err
 		}
-		sealed, err := platform.Seal(platform.KindConfig, change)
+		sealed, err := sharedlog.Seal(sharedlog.KindConfig, change)
 		if err != nil {
 			return err
 		}
--- a/load/slopes/logrole.go
+++ b/load/slopes/logrole.go
@@ -7,7 +7,7 @@
 
 	"marjoramlug.example/marjoramlug/entry"
 	"marjoramlug.example/marjoramlug/message"
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 	"marjoramlug.example/marjoramlug/plugin/log/memory"
 	"marjoramlug.example/marjoramlug/settings"
 	"marjoramlug.example/marjoramlug/transport"
@@ -86,7 +86,7 @@
 }
 
 // logDuring returns what was appended to the log while f ran.
-func logDuring(log platform.Log, f func()) (records, bytes int, cpu time.Duration, err error) {
+func logDuring(log sharedlog.Log, f func()) (records, bytes int, cpu time.Duration, err error) {
 	ctx := context.Background()
 	before, err := log.Bounds(ctx)
 	if err != nil {
--- a/load/slopes/parts.go
+++ b/load/slopes/parts.go
@@ -8,7 +8,7 @@
 
 	"marjoramlug.example/marjoramlug/config"
 	"marjoramlug.example/marjoramlug/entry"
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 	_ "marjoramlug.example/marjoramlug/plugin/standard" // the policies of entries
 	"marjoramlug.example/marjoramlug/settings"
 	"marjoramlug.example/marjoramlug/transport"
@@ -44,7 +44,7 @@
 }
 
 // startEntry starts an entry with default settings.
-func startEntry(name string, network transport.Network, log platform.Log, listen, advertise string) (*entry.Entry, error) {
+func startEntry(name string, network transport.Network, log sharedlog.Log, listen, advertise string) (*entry.Entry, error) {
 	cfg := settings.Entry{
 		Identity:  settings.Identity{Name: name},
 		Listen:    listen,
--- a/ownership/action.go
+++ b/ownership/action.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"marjoramlug.example/marjoramlug/message"
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 // Action is an output of the core.
@@ -20,7 +20,7 @@
 type AskPromise struct {
 	Peer Member
 	// Joined is the offset of this member's join.
-	Joined platform.Offset
+	Joined sharedlog.Offset
 	SentAt int64
 }
 
--- a/ownership/core.go
+++ b/ownership/core.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"marjoramlug.example/marjoramlug/message"
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 // Options are the durations of the lease protocol. All members of a fleet use
@@ -60,7 +60,7 @@
 	state   *State
 	status  status
 	// joined is the offset of the join under which this core is a member.
-	joined platform.Offset
+	joined sharedlog.Offset
 
 	lease  lease
 	guards guards
@@ -166,7 +166,7 @@
 	c.follow(now, d)
 }
 
-func (s *State) change(at platform.Offset, ch ServiceChange) Delta {
+func (s *State) change(at sharedlog.Offset, ch ServiceChange) Delta {
 	if ch.Deleted {
 		return s.DeleteService(at, ch.Name)
 	}
--- a/ownership/event.go
+++ b/ownership/event.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 // Event is an input of the core.
@@ -12,7 +12,7 @@
 // LogRecord is the next record of the log. At most one of Record and Service
 // is set; a record that concerns neither only moves the applied offset.
 type LogRecord struct {
-	Offset  platform.Offset
+	Offset  sharedlog.Offset
 	Record  *Record
 	Service *ServiceChange
 }
@@ -51,7 +51,7 @@
 type PromiseRequested struct {
 	From MemberID
 	// Joined is the offset of the join that the peer knows of itself.
-	Joined platform.Offset
+	Joined sharedlog.Offset
 	SentAt int64
 }
 
--- a/ownership/fold_test.go
+++ b/ownership/fold_test.go
@@ -7,24 +7,24 @@
 
 	"marjoramlug.example/marjoramlug/message"
 	"marjoramlug.example/marjoramlug/ownership"
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
-func join(id, address string, applied platform.Offset, guardian ownership.MemberID) ownership.Record {
+func join(id, address string, applied sharedlog.Offset, guardian ownership.MemberID) ownership.Record {
 	return ownership.Record{
 		Type: ownership.RecordJoin, Member: ownership.Member{ID: ownership.MemberID(id), Address: address},
 		Applied: applied, Guardian: guardian, Seq: 1,
 	}
 }
 
-func renew(id string, seq uint64, applied platform.Offset, guardian ownership.MemberID) ownership.Record {
+func renew(id string, seq uint64, applied sharedlog.Offset, guardian ownership.MemberID) ownership.Record {
 	return ownership.Record{
 		Type: ownership.RecordRenew, Member: ownership.Member{ID: ownership.MemberID(id)},
 		Seq: seq, Applied: applied, Guardian: guardian,
 	}
 }
 
-func remove(id, by string, seen platform.Offset) ownership.Record {
+func remove(id, by string, seen sharedlog.Offset) ownership.Record {
 	return ownership.Record{
 		Type: ownership.RecordRemove, Member: ownership.Member{ID: ownership.MemberID(id)}, By: by, Seen: seen,
 	}
@@ -68,7 +68,7 @@
 			s := ownership.NewState()
 			s.SetService(0, "press", 1, "")
 			for i, r := range test.records {
-				s.Apply(platform.Offset(i+1), r)
+				s.Apply(sharedlog.Offset(i+1), r)
 			}
 			var got []ownership.MemberID
 			for _, m := range s.Members() {
@@ -86,7 +86,7 @@
 // TestAgentsGone lists what owners say of an agent that was registered at
 // offset 4. The service has two owners, a and b.
 func TestAgentsGone(t *testing.T) {
-	gone := func(by string, seen platform.Offset) ownership.Record {
+	gone := func(by string, seen sharedlog.Offset) ownership.Record {
 		return ownership.Record{
 			Type: ownership.RecordAgentGone, Service: "press", Agents: []string{"agent"}, By: by, Seen: seen,
 		}
@@ -121,7 +121,7 @@
 			for i, r := range test.records {
 				r.By = role[r.By]
 				r.Member.ID = ownership.MemberID(role[string(r.Member.ID)])
-				s.Apply(platform.Offset(5+i), r)
+				s.Apply(sharedlog.Offset(5+i), r)
 			}
 			is.Equal(len(s.Roster("press")) == 1, test.kept)
 		})
--- a/ownership/guard.go
+++ b/ownership/guard.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 // guards is what a member knows of the other members' leases.
@@ -21,7 +21,7 @@
 // until the member has renewed.
 type removal struct {
 	attempt
-	seen platform.Offset
+	seen sharedlog.Offset
 	// lost says that the answer of an earlier attempt was lost.
 	lost bool
 }
--- a/ownership/helper_test.go
+++ b/ownership/helper_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 
 	"marjoramlug.example/marjoramlug/ownership"
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 func serviceNames(n int) []string {
@@ -17,7 +17,7 @@
 
 func bigState(members, services int) *ownership.State {
 	s := ownership.NewState()
-	at := platform.Offset(0)
+	at := sharedlog.Offset(0)
 	for i := range members {
 		at++
 		s.Apply(at, join(fmt.Sprintf("m%d", i), fmt.Sprintf("10.0.0.%d", i), at-1, ""))
--- a/ownership/liveness_test.go
+++ b/ownership/liveness_test.go
@@ -9,7 +9,7 @@
 
 	"marjoramlug.example/marjoramlug/message"
 	"marjoramlug.example/marjoramlug/ownership"
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 // defaults are the lease settings of the product.
@@ -234,7 +234,7 @@
 		{Service: service("east")},
 		{Record: &early},
 	} {
-		ev.Offset = platform.Offset(i + 1)
+		ev.Offset = sharedlog.Offset(i + 1)
 		is.True(!acquired(ev))
 	}
 	now = now.Add(time.Hour)
--- a/ownership/promise_test.go
+++ b/ownership/promise_test.go
@@ -7,7 +7,7 @@
 	"github.com/matryer/is"
 
 	"marjoramlug.example/marjoramlug/ownership"
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 // promises asks a member for a promise and returns whether it gives it.
@@ -18,7 +18,7 @@
 }
 
 // joinOf returns the offset of a member's first join.
-func (w *world) joinOf(id ownership.MemberID) platform.Offset {
+func (w *world) joinOf(id ownership.MemberID) sharedlog.Offset {
 	for _, rec := range w.log {
 		if rec.Record != nil && rec.Record.Type == ownership.RecordJoin && rec.Record.Member.ID == id {
 			return rec.Offset
@@ -77,7 +77,7 @@
 			lapse(w, ward, g)
 			w.run(2 * tick)
 			again := *w.log[w.joinOf(ward.self.ID)-1].Record
-			again.Applied = platform.Offset(len(w.log))
+			again.Applied = sharedlog.Offset(len(w.log))
 			w.write(ownership.LogRecord{Record: &again})
 			w.run(2 * tick)
 		}, false},
--- a/ownership/record.go
+++ b/ownership/record.go
@@ -8,7 +8,7 @@
 
 import (
 	"marjoramlug.example/marjoramlug/message"
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 // MemberID identifies one incarnation of an entry.
@@ -63,10 +63,10 @@
 	By string `cbor:"3,keyasint,omitempty"`
 	// Seen is the offset of the renewal that a removal saw, or of the
 	// registration that a RecordAgentGone saw.
-	Seen platform.Offset `cbor:"4,keyasint,omitempty"`
+	Seen sharedlog.Offset `cbor:"4,keyasint,omitempty"`
 	// Applied is the offset up to which a joining or renewing member has applied
 	// the log.
-	Applied platform.Offset `cbor:"5,keyasint,omitempty"`
+	Applied sharedlog.Offset `cbor:"5,keyasint,omitempty"`
 	// Guardian is the only peer allowed to remove a renewing member.
 	Guardian MemberID `cbor:"6,keyasint,omitempty"`
 	// Service and Agents belong to roster records.
--- a/ownership/roster.go
+++ b/ownership/roster.go
@@ -3,14 +3,14 @@
 import (
 	"slices"
 
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 // rosterEntry is an agent on which tasks of a service may have been started.
 type rosterEntry struct {
 	Name string `cbor:"1,keyasint"`
 	// Registered is the offset of the record that last registered the agent.
-	Registered platform.Offset `cbor:"2,keyasint"`
+	Registered sharedlog.Offset `cbor:"2,keyasint"`
 	// Gone lists the members that have had no session with the agent for long.
 	Gone []goneVote `cbor:"3,keyasint,omitempty"`
 }
@@ -18,7 +18,7 @@
 // goneVote is a member's RecordAgentGone.
 type goneVote struct {
 	Member MemberID        `cbor:"1,keyasint"`
-	At     platform.Offset `cbor:"2,keyasint"`
+	At     sharedlog.Offset `cbor:"2,keyasint"`
 }
 
 // Roster returns the names of a service's agents, sorted.
@@ -36,7 +36,7 @@
 
 // Registered returns the offset of the record that last registered an agent of
 // a service, or 0 when its name does not stand in the roster.
-func (s *State) Registered(name, agent string) platform.Offset {
+func (s *State) Registered(name, agent string) sharedlog.Offset {
 	svc, ok := s.services[name]
 	if !ok {
 		return 0
@@ -56,7 +56,7 @@
 
 // addAgents registers agents. A new registration voids what members have said
 // of the agent before, also what is still on its way.
-func (s *State) addAgents(at platform.Offset, r Record, d *Delta) {
+func (s *State) addAgents(at sharedlog.Offset, r Record, d *Delta) {
 	svc, ok := s.services[r.Service]
 	if !ok {
 		return
@@ -76,7 +76,7 @@
 
 // agentGone notes what a member says of an agent, and drops the agent when all
 // owners agree.
-func (s *State) agentGone(at platform.Offset, r Record) {
+func (s *State) agentGone(at sharedlog.Offset, r Record) {
 	svc, ok := s.services[r.Service]
 	if !ok || len(r.Agents) != 1 {
 		return
--- a/ownership/service.go
+++ b/ownership/service.go
@@ -5,7 +5,7 @@
 	"slices"
 
 	"marjoramlug.example/marjoramlug/message"
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 // service is the assignment of one service. It outlives the service's deletion,
@@ -23,7 +23,7 @@
 
 type shard struct {
 	Owner MemberID        `cbor:"1,keyasint,omitempty"`
-	Epoch platform.Offset `cbor:"2,keyasint,omitempty"`
+	Epoch sharedlog.Offset `cbor:"2,keyasint,omitempty"`
 	// First says that the owner is the shard's first.
 	First bool `cbor:"3,keyasint,omitempty"`
 	// Owned says that the shard has or had an owner.
@@ -33,17 +33,17 @@
 	// again, and that clears it.
 	Predecessors []predecessor `cbor:"5,keyasint,omitempty"`
 	// Cleared is the offset of the record that last cleared a predecessor.
-	Cleared platform.Offset `cbor:"6,keyasint,omitempty"`
+	Cleared sharedlog.Offset `cbor:"6,keyasint,omitempty"`
 }
 
 type predecessor struct {
 	Member MemberID `cbor:"1,keyasint"`
 	// Lost is the offset of the record that took the shard away.
-	Lost platform.Offset `cbor:"2,keyasint"`
+	Lost sharedlog.Offset `cbor:"2,keyasint"`
 }
 
 // SetService creates a service or changes the number and region of its owners.
-func (s *State) SetService(at platform.Offset, name string, owners int, region string) Delta {
+func (s *State) SetService(at sharedlog.Offset, name string, owners int, region string) Delta {
 	s.applied = at
 	var d Delta
 	svc, ok := s.services[name]
@@ -59,7 +59,7 @@
 }
 
 // DeleteService takes a service's shards from their owners.
-func (s *State) DeleteService(at platform.Offset, name string) Delta {
+func (s *State) DeleteService(at sharedlog.Offset, name string) Delta {
 	s.applied = at
 	var d Delta
 	svc, ok := s.services[name]
@@ -74,7 +74,7 @@
 }
 
 // reassignAll gives each shard of each service to its owner of now.
-func (s *State) reassignAll(at platform.Offset, d *Delta) {
+func (s *State) reassignAll(at sharedlog.Offset, d *Delta) {
 	names := make([]string, 0, len(s.services))
 	for name := range s.services {
 		names = append(names, name)
@@ -87,7 +87,7 @@
 }
 
 // reassign gives each shard of a service to its owner of now.
-func (s *State) reassign(at platform.Offset, svc *service, members []*membership, d *Delta) {
+func (s *State) reassign(at sharedlog.Offset, svc *service, members []*membership, d *Delta) {
 	sharing := owners(svc, members)
 	for i := range svc.Shards {
 		next := shardOwner(svc.Name, i, sharing)
@@ -98,7 +98,7 @@
 // setOwner changes a shard's owner. The old one becomes a predecessor unless it
 // is known to have stopped. A member that gets a shard back is no predecessor
 // of itself: it has applied the loss before it applies this record.
-func (s *State) setOwner(at platform.Offset, ref Shard, sh *shard, next MemberID, d *Delta) {
+func (s *State) setOwner(at sharedlog.Offset, ref Shard, sh *shard, next MemberID, d *Delta) {
 	if sh.Owner == next {
 		return
 	}
@@ -131,7 +131,7 @@
 
 // clear removes a member from the predecessors of the shards whose loss it has
 // applied.
-func (s *State) clear(at platform.Offset, id MemberID, applied platform.Offset, d *Delta) {
+func (s *State) clear(at sharedlog.Offset, id MemberID, applied sharedlog.Offset, d *Delta) {
 	refs := make([]Shard, 0, len(s.waiting[id]))
 	for ref := range s.waiting[id] {
 		refs = append(refs, ref)
@@ -149,7 +149,7 @@
 }
 
 // clearShard removes a member from the predecessors of one shard, if it is one.
-func (s *State) clearShard(at platform.Offset, ref Shard, sh *shard, id MemberID) {
+func (s *State) clearShard(at sharedlog.Offset, ref Shard, sh *shard, id MemberID) {
 	i := slices.IndexFunc(sh.Predecessors, func(p predecessor) bool { return p.Member == id })
 	if i < 0 {
 		return
--- a/ownership/snapshot.go
+++ b/ownership/snapshot.go
@@ -6,16 +6,16 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 // encodedState is the form of a state in snapshots. Its lists are sorted, so
 // that equal states have equal encodings.
 type encodedState struct {
-	Applied  platform.Offset `cbor:"1,keyasint"`
+	Applied  sharedlog.Offset `cbor:"1,keyasint"`
 	Members  []*membership   `cbor:"2,keyasint,omitempty"`
 	Services []*service      `cbor:"3,keyasint,omitempty"`
-	Changed  platform.Offset `cbor:"4,keyasint,omitempty"`
+	Changed  sharedlog.Offset `cbor:"4,keyasint,omitempty"`
 }
 
 // Encode returns the state in the form that snapshots hold.
--- a/ownership/state.go
+++ b/ownership/state.go
@@ -4,17 +4,17 @@
 	"slices"
 
 	"marjoramlug.example/marjoramlug/message"
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 // State is the assignment of shards to members as of a prefix of the log. It
 // is a pure function of that prefix: two readers that have applied the same
 // records hold the same state.
 type State struct {
-	applied platform.Offset
+	applied sharedlog.Offset
 	// generation is the offset of the last record that changed what agents are
 	// told: the members, the services or the owners.
-	generation platform.Offset
+	generation sharedlog.Offset
 	members    map[MemberID]*membership
 	services   map[string]*service
 	// waiting lists, by predecessor, the shards that wait for it to stop. It is
@@ -32,16 +32,16 @@
 type membership struct {
 	Member Member `cbor:"1,keyasint"`
 	// Joined is the offset of the join.
-	Joined platform.Offset `cbor:"2,keyasint"`
+	Joined sharedlog.Offset `cbor:"2,keyasint"`
 	// Renewed is the offset of the latest renewal, at first that of the join.
-	Renewed platform.Offset `cbor:"3,keyasint"`
+	Renewed sharedlog.Offset `cbor:"3,keyasint"`
 	// Seq is the number of the latest renewal.
 	Seq uint64 `cbor:"4,keyasint"`
 	// Guardian is the only member that may remove this one; when empty, any may.
 	Guardian MemberID `cbor:"5,keyasint"`
 	// GuardedSince is the offset of the record that last renewed the lease or
 	// passed the guardianship on. A guardian counts a whole lease from reading it.
-	GuardedSince platform.Offset `cbor:"6,keyasint"`
+	GuardedSince sharedlog.Offset `cbor:"6,keyasint"`
 }
 
 // Delta says what a record has changed.
@@ -69,18 +69,18 @@
 }
 
 // Applied returns the offset of the last record applied.
-func (s *State) Applied() platform.Offset { return s.applied }
+func (s *State) Applied() sharedlog.Offset { return s.applied }
 
 // Generation returns the offset of the last record that changed the members,
 // the services or the owners. It is the same number for every reader.
 func (s *State) Generation() uint64 { return uint64(s.generation) }
 
 // Skip notes a record that does not concern ownership.
-func (s *State) Skip(at platform.Offset) { s.applied = at }
+func (s *State) Skip(at sharedlog.Offset) { s.applied = at }
 
 // Apply folds one ownership record. Records that do not fit the state, such as
 // a removal overtaken by a renewal, have no effect.
-func (s *State) Apply(at platform.Offset, r Record) Delta {
+func (s *State) Apply(at sharedlog.Offset, r Record) Delta {
 	s.applied = at
 	var d Delta
 	switch r.Type {
@@ -112,7 +112,7 @@
 // join adds a member and supersedes the one with the same address. A joiner
 // supersedes only what it had read when it wrote the record: a join that took
 // effect late must not displace the member that came after it.
-func (s *State) join(at platform.Offset, r Record, d *Delta) {
+func (s *State) join(at sharedlog.Offset, r Record, d *Delta) {
 	if _, ok := s.members[r.Member.ID]; ok || r.Member.ID == "" {
 		return
 	}
@@ -136,7 +136,7 @@
 // renew extends a lease and clears the member from the shards whose loss it has
 // applied. Renewals that arrive out of order are void, so that a member whose
 // later renewal stands in the log need not reckon with earlier ones.
-func (s *State) renew(at platform.Offset, r Record, d *Delta) {
+func (s *State) renew(at sharedlog.Offset, r Record, d *Delta) {
 	m, ok := s.members[r.Member.ID]
 	if !ok || r.Seq <= m.Seq {
 		return
@@ -164,7 +164,7 @@
 }
 
 // drop ends a membership and assigns its shards to others.
-func (s *State) drop(at platform.Offset, id MemberID, d *Delta) {
+func (s *State) drop(at sharedlog.Offset, id MemberID, d *Delta) {
 	if _, ok := s.members[id]; !ok {
 		return
 	}
@@ -174,7 +174,7 @@
 
 // forget removes a member, clears it as a predecessor and passes on the
 // guardianships that it held.
-func (s *State) forget(at platform.Offset, id MemberID, d *Delta) {
+func (s *State) forget(at sharedlog.Offset, id MemberID, d *Delta) {
 	delete(s.members, id)
 	d.Members = true
 	s.clear(at, id, at, d)
@@ -188,7 +188,7 @@
 }
 
 // replaceGuardian names another guardian when the named one is no member.
-func (s *State) replaceGuardian(at platform.Offset, id MemberID) {
+func (s *State) replaceGuardian(at sharedlog.Offset, id MemberID) {
 	m := s.members[id]
 	if _, ok := s.members[m.Guardian]; ok || m.Guardian == "" {
 		return
--- a/ownership/world_test.go
+++ b/ownership/world_test.go
@@ -9,7 +9,7 @@
 
 	"marjoramlug.example/marjoramlug/message"
 	"marjoramlug.example/marjoramlug/ownership"
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 // tick is the step of the model's time.
@@ -166,7 +166,7 @@
 
 // write puts a record at the log's end.
 func (w *world) write(rec ownership.LogRecord) {
-	rec.Offset = platform.Offset(len(w.log) + 1)
+	rec.Offset = sharedlog.Offset(len(w.log) + 1)
 	w.log = append(w.log, rec)
 	switch {
 	case rec.Record != nil:
--- a/plugin/log/http/http.go
+++ b/plugin/log/http/http.go
@@ -16,7 +16,7 @@
 	"github.com/dghubble/sling"
 
 	"marjoramlug.example/marjoramlug/kernel"
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 	"marjoramlug.example/marjoramlug/settings"
 )
 
@@ -30,7 +30,7 @@
 type opener struct{}
 
 // Open returns a client of the service at the settings' URL.
-func (opener) Open(s settings.Platform) (platform.Log, error) {
+func (opener) Open(s settings.Platform) (sharedlog.Log, error) {
 	return New(s.URL, s.Timeout)
 }
 
@@ -56,10 +56,10 @@
 	return &Log{base: base, timeout: timeout}, nil
 }
 
-// Append implements platform.Log.
-func (l *Log) Append(ctx context.Context, data []byte) (platform.Offset, error) {
-	call := l.base.New().Post(relative(platform.RecordsPath)).Body(bytes.NewReader(data))
-	var reply platform.AppendReply
+// Append implements sharedlog.Log.
+func (l *Log) Append(ctx context.Context, data []byte) (sharedlog.Offset, error) {
+	call := l.base.New().Post(relative(sharedlog.RecordsPath)).Body(bytes.NewReader(data))
+	var reply sharedlog.AppendReply
 	sent, err := l.do(ctx, call, &reply)
 	if err == nil && reply.Offset == 0 {
 		err = errors.New("answer without an offset")
@@ -68,28 +68,28 @@
 	case err == nil:
 		return reply.Offset, nil
 	case sent && !isRefusal(err):
-		return 0, fmt.Errorf("%w: %w", platform.ErrUnknown, err)
+		return 0, fmt.Errorf("%w: %w", sharedlog.ErrUnknown, err)
 	default:
 		return 0, refusal(err)
 	}
 }
 
-// Read implements platform.Log.
-func (l *Log) Read(ctx context.Context, from platform.Offset, limit int) ([]platform.Record, error) {
-	query := platform.ReadQuery{From: from, Limit: limit}
-	call := l.base.New().Get(relative(platform.RecordsPath)).QueryStruct(query)
-	var reply platform.ReadReply
+// Read implements sharedlog.Log.
+func (l *Log) Read(ctx context.Context, from sharedlog.Offset, limit int) ([]sharedlog.Record, error) {
+	query := sharedlog.ReadQuery{From: from, Limit: limit}
+	call := l.base.New().Get(relative(sharedlog.RecordsPath)).QueryStruct(query)
+	var reply sharedlog.ReadReply
 	if _, err := l.do(ctx, call, &reply); err != nil {
 		return nil, refusal(err)
 	}
 	return reply.Records, checkOrder(reply.Records, from)
 }
 
-// Bounds implements platform.Log.
-func (l *Log) Bounds(ctx context.Context) (platform.Bounds, error) {
-	var bounds platform.Bounds
-	if _, err := l.do(ctx, l.base.New().Get(relative(platform.BoundsPath)), &bounds); err != nil {
-		return platform.Bounds{}, refusal(err)
+// Bounds implements sharedlog.Log.
+func (l *Log) Bounds(ctx context.Context) (sharedlog.Bounds, error) {
+	var bounds sharedlog.Bounds
+	if _, err := l.do(ctx, l.base.New().Get(relative(sharedlog.BoundsPath)), &bounds); err != nil {
+		return sharedlog.Bounds{}, refusal(err)
 	}
 	return bounds, nil
 }
@@ -140,19 +140,19 @@
 	errors.As(err, &status)
 	switch int(status) {
 	case http.StatusGone:
-		return fmt.Errorf("%w: %w", platform.ErrTrimmed, err)
+		return fmt.Errorf("%w: %w", sharedlog.ErrTrimmed, err)
 	case http.StatusRequestEntityTooLarge:
-		return fmt.Errorf("%w: %w", platform.ErrTooLarge, err)
+		return fmt.Errorf("%w: %w", sharedlog.ErrTooLarge, err)
 	default:
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", sharedlog.ErrUnavailable, err)
 	}
 }
 
 // checkOrder makes sure that a faulty answer can't leave a hole.
-func checkOrder(records []platform.Record, from platform.Offset) error {
+func checkOrder(records []sharedlog.Record, from sharedlog.Offset) error {
 	for i, r := range records {
-		if r.Offset != from+platform.Offset(i) {
-			return fmt.Errorf("%w: record %d where %d was due", platform.ErrUnavailable, r.Offset, from+platform.Offset(i))
+		if r.Offset != from+sharedlog.Offset(i) {
+			return fmt.Errorf("%w: record %d where %d was due", sharedlog.ErrUnavailable, r.Offset, from+sharedlog.Offset(i))
 		}
 	}
 	return nil
--- a/plugin/log/http/http_test.go
+++ b/plugin/log/http/http_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/matryer/is"
 
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 // TestAppendErrors checks what an append says about answers that the contract's
@@ -24,14 +24,14 @@
 		answer http.HandlerFunc
 		want   error
 	}{
-		{"internal error", status(http.StatusInternalServerError), platform.ErrUnknown},
-		{"bad gateway", status(http.StatusBadGateway), platform.ErrUnknown},
-		{"unavailable", status(http.StatusServiceUnavailable), platform.ErrUnavailable},
-		{"not found", status(http.StatusNotFound), platform.ErrUnavailable},
-		{"too large", status(http.StatusRequestEntityTooLarge), platform.ErrTooLarge},
-		{"garbage", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("<html>")) }, platform.ErrUnknown},
-		{"no offset", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("{}")) }, platform.ErrUnknown},
-		{"connection closed", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, platform.ErrUnknown},
+		{"internal error", status(http.StatusInternalServerError), sharedlog.ErrUnknown},
+		{"bad gateway", status(http.StatusBadGateway), sharedlog.ErrUnknown},
+		{"unavailable", status(http.StatusServiceUnavailable), sharedlog.ErrUnavailable},
+		{"not found", status(http.StatusNotFound), sharedlog.ErrUnavailable},
+		{"too large", status(http.StatusRequestEntityTooLarge), sharedlog.ErrTooLarge},
+		{"garbage", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("<html>")) }, sharedlog.ErrUnknown},
+		{"no offset", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("{}")) }, sharedlog.ErrUnknown},
+		{"connection closed", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, sharedlog.ErrUnknown},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -64,7 +64,7 @@
 	log, err := New("http://"+address, 0)
 	is.NoErr(err)
 	_, err = log.Append(t.Context(), []byte("x"))
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, sharedlog.ErrUnavailable))
 }
 
 // TestTimeoutBoundsACall uses a server that never answers; the call ends by
@@ -89,13 +89,13 @@
 func TestReadRejectsHoles(t *testing.T) {
 	is := is.New(t)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_ = json.NewEncoder(w).Encode(platform.ReadReply{Records: []platform.Record{{Offset: 1}, {Offset: 3}}})
+		_ = json.NewEncoder(w).Encode(sharedlog.ReadReply{Records: []sharedlog.Record{{Offset: 1}, {Offset: 3}}})
 	}))
 	t.Cleanup(server.Close)
 	log, err := New(server.URL, 0)
 	is.NoErr(err)
 	_, err = log.Read(t.Context(), 1, 10)
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, sharedlog.ErrUnavailable))
 }
 
 func TestNewRejectsBadURLs(t *testing.T) {
--- a/plugin/log/memory/memory.go
+++ b/plugin/log/memory/memory.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"marjoramlug.example/marjoramlug/kernel"
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 	"marjoramlug.example/marjoramlug/settings"
 )
 
@@ -24,7 +24,7 @@
 type opener struct{}
 
 // Open returns an empty log with the retention of the settings.
-func (opener) Open(s settings.Platform) (platform.Log, error) {
+func (opener) Open(s settings.Platform) (sharedlog.Log, error) {
 	return New(Options{Retention: s.Retention}), nil
 }
 
@@ -61,7 +61,7 @@
 	now       func() time.Time
 
 	mu     sync.Mutex
-	first  platform.Offset
+	first  sharedlog.Offset
 	kept   []kept
 	faults Faults
 }
@@ -89,50 +89,50 @@
 }
 
 // Trim drops all records before first.
-func (l *Log) Trim(first platform.Offset) {
+func (l *Log) Trim(first sharedlog.Offset) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.trim(first)
 }
 
-// Append implements platform.Log.
-func (l *Log) Append(ctx context.Context, data []byte) (platform.Offset, error) {
+// Append implements sharedlog.Log.
+func (l *Log) Append(ctx context.Context, data []byte) (sharedlog.Offset, error) {
 	if err := ctx.Err(); err != nil {
-		return 0, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return 0, fmt.Errorf("%w: %w", sharedlog.ErrUnavailable, err)
 	}
 	if len(data) > MaxRecordBytes {
-		return 0, fmt.Errorf("%w: %d bytes, at most %d", platform.ErrTooLarge, len(data), MaxRecordBytes)
+		return 0, fmt.Errorf("%w: %d bytes, at most %d", sharedlog.ErrTooLarge, len(data), MaxRecordBytes)
 	}
 	offset, delay, err := l.write(data)
 	if err != nil {
 		return 0, err
 	}
 	if err := pause(ctx, delay); err != nil {
-		return 0, fmt.Errorf("%w: %w", platform.ErrUnknown, err)
+		return 0, fmt.Errorf("%w: %w", sharedlog.ErrUnknown, err)
 	}
 	return offset, nil
 }
 
-func (l *Log) write(data []byte) (platform.Offset, time.Duration, error) {
+func (l *Log) write(data []byte) (sharedlog.Offset, time.Duration, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.faults.Down {
-		return 0, 0, platform.ErrUnavailable
+		return 0, 0, sharedlog.ErrUnavailable
 	}
 	if l.faults.LostAnswers == 0 && l.faults.LostAppends > 0 {
 		l.faults.LostAppends--
-		return 0, 0, platform.ErrUnknown
+		return 0, 0, sharedlog.ErrUnknown
 	}
 	l.kept = append(l.kept, kept{data: slices.Clone(data), written: l.now()})
 	if l.faults.LostAnswers > 0 {
 		l.faults.LostAnswers--
-		return 0, 0, platform.ErrUnknown
+		return 0, 0, sharedlog.ErrUnknown
 	}
 	return l.next() - 1, l.faults.Delay, nil
 }
 
-// Read implements platform.Log.
-func (l *Log) Read(ctx context.Context, from platform.Offset, limit int) ([]platform.Record, error) {
+// Read implements sharedlog.Log.
+func (l *Log) Read(ctx context.Context, from sharedlog.Offset, limit int) ([]sharedlog.Record, error) {
 	if err := l.ready(ctx); err != nil {
 		return nil, err
 	}
@@ -140,41 +140,41 @@
 	defer l.mu.Unlock()
 	l.expire()
 	if from < l.first {
-		return nil, fmt.Errorf("%w: offset %d, first kept %d", platform.ErrTrimmed, from, l.first)
+		return nil, fmt.Errorf("%w: offset %d, first kept %d", sharedlog.ErrTrimmed, from, l.first)
 	}
-	end := min(from+platform.Offset(max(limit, 0)), l.next())
-	var records []platform.Record
+	end := min(from+sharedlog.Offset(max(limit, 0)), l.next())
+	var records []sharedlog.Record
 	for offset := from; offset < end; offset++ {
 		data := slices.Clone(l.kept[offset-l.first].data)
-		records = append(records, platform.Record{Offset: offset, Data: data})
+		records = append(records, sharedlog.Record{Offset: offset, Data: data})
 	}
 	return records, nil
 }
 
-// Bounds implements platform.Log.
-func (l *Log) Bounds(ctx context.Context) (platform.Bounds, error) {
+// Bounds implements sharedlog.Log.
+func (l *Log) Bounds(ctx context.Context) (sharedlog.Bounds, error) {
 	if err := l.ready(ctx); err != nil {
-		return platform.Bounds{}, err
+		return sharedlog.Bounds{}, err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.expire()
-	return platform.Bounds{First: l.first, Next: l.next()}, nil
+	return sharedlog.Bounds{First: l.first, Next: l.next()}, nil
 }
 
 // ready applies the faults that concern calls which only read.
 func (l *Log) ready(ctx context.Context) error {
 	f := l.Faults()
 	if f.Down {
-		return platform.ErrUnavailable
+		return sharedlog.ErrUnavailable
 	}
 	if err := pause(ctx, f.Delay); err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", sharedlog.ErrUnavailable, err)
 	}
 	return nil
 }
 
-func (l *Log) next() platform.Offset { return l.first + platform.Offset(len(l.kept)) }
+func (l *Log) next() sharedlog.Offset { return l.first + sharedlog.Offset(len(l.kept)) }
 
 func (l *Log) expire() {
 	if l.retention == 0 {
@@ -185,10 +185,10 @@
 	for expired < len(l.kept) && l.kept[expired].written.Before(oldest) {
 		expired++
 	}
-	l.trim(l.first + platform.Offset(expired))
+	l.trim(l.first + sharedlog.Offset(expired))
 }
 
-func (l *Log) trim(first platform.Offset) {
+func (l *Log) trim(first sharedlog.Offset) {
 	if first <= l.first {
 		return
 	}
--- a/plugin/log/memory/memory_test.go
+++ b/plugin/log/memory/memory_test.go
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 
 	"marjoramlug.example/marjoramlug/kernel"
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 	"marjoramlug.example/marjoramlug/settings"
 )
 
@@ -24,18 +24,18 @@
 	// Ages are now 90, 60 and 30 minutes; only the first is beyond retention.
 	bounds, err := log.Bounds(t.Context())
 	is.NoErr(err)
-	is.Equal(bounds, platform.Bounds{First: 2, Next: 4})
+	is.Equal(bounds, sharedlog.Bounds{First: 2, Next: 4})
 	_, err = log.Read(t.Context(), 1, 1)
-	is.True(errors.Is(err, platform.ErrTrimmed))
+	is.True(errors.Is(err, sharedlog.ErrTrimmed))
 }
 
 func TestRegistered(t *testing.T) {
 	is := is.New(t)
-	opener, err := kernel.Load[platform.Opener]("log.memory")
+	opener, err := kernel.Load[sharedlog.Opener]("log.memory")
 	is.NoErr(err)
 	log, err := opener.Open(settings.Platform{})
 	is.NoErr(err)
 	offset, err := log.Append(t.Context(), nil)
 	is.NoErr(err)
-	is.Equal(offset, platform.Offset(1))
+	is.Equal(offset, sharedlog.Offset(1))
 }
--- a/replica/act.go
+++ b/replica/act.go
@@ -9,7 +9,7 @@
 	"marjoramlug.example/marjoramlug/config"
 	"marjoramlug.example/marjoramlug/message"
 	"marjoramlug.example/marjoramlug/ownership"
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 // configured and deconfigured are calls of the Observer that wait in the queue.
@@ -138,7 +138,7 @@
 
 // appendOwnership writes a record of the core and tells the core the outcome.
 func (r *Replica) appendOwnership(ctx context.Context, a ownership.Append) {
-	r.goAppend(ctx, platform.KindOwnership, a.Record, func(_ platform.Offset, err error) {
+	r.goAppend(ctx, sharedlog.KindOwnership, a.Record, func(_ sharedlog.Offset, err error) {
 		switch {
 		case err == nil:
 			r.step(ownership.AppendDone{ID: a.ID})
@@ -151,7 +151,7 @@
 }
 
 // goAppend writes a record in the background and reads the log afterwards.
-func (r *Replica) goAppend(ctx context.Context, kind platform.RecordKind, body any, done func(platform.Offset, error)) {
+func (r *Replica) goAppend(ctx context.Context, kind sharedlog.RecordKind, body any, done func(sharedlog.Offset, error)) {
 	r.appends.Go(func() error {
 		offset, err := r.append(ctx, kind, body)
 		done(offset, err)
@@ -160,10 +160,10 @@
 	})
 }
 
-func (r *Replica) append(ctx context.Context, kind platform.RecordKind, body any) (platform.Offset, error) {
-	data, err := platform.Seal(kind, body)
+func (r *Replica) append(ctx context.Context, kind sharedlog.RecordKind, body any) (sharedlog.Offset, error) {
+	data, err := sharedlog.Seal(kind, body)
 	if err != nil {
-		return 0, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return 0, fmt.Errorf("%w: %w", sharedlog.ErrUnavailable, err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.options.Platform.Timeout)
 	defer cancel()
@@ -176,5 +176,5 @@
 }
 
 func wasNotWritten(err error) bool {
-	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrTooLarge)
+	return errors.Is(err, sharedlog.ErrUnavailable) || errors.Is(err, sharedlog.ErrTooLarge)
 }
--- a/replica/faults_test.go
+++ b/replica/faults_test.go
@@ -12,7 +12,7 @@
 	"marjoramlug.example/marjoramlug/config"
 	"marjoramlug.example/marjoramlug/message"
 	"marjoramlug.example/marjoramlug/ownership"
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 	"marjoramlug.example/marjoramlug/plugin/log/memory"
 	"marjoramlug.example/marjoramlug/replica"
 )
@@ -118,7 +118,7 @@
 		third := f.publish(nodes[1], record("press", 3, won.Revision))
 		is.True(third.Accepted)
 		first.Owners = 1
-		is.NoErr(f.write(platform.KindConfig, first)) // its first copy was late
+		is.NoErr(f.write(sharedlog.KindConfig, first)) // its first copy was late
 		time.Sleep(time.Second)
 		is.Equal(len(nodes[2].Owners("press")), 3)
 	})
@@ -133,7 +133,7 @@
 			ID: "newer", Service: "press", Schema: config.CurrentSchema + 1, Expect: revision,
 			Body: []byte{0xa0}, Owners: 1,
 		}
-		is.NoErr(f.write(platform.KindConfig, newer))
+		is.NoErr(f.write(sharedlog.KindConfig, newer))
 		time.Sleep(time.Second)
 		for _, n := range nodes {
 			is.Equal(len(n.Owners("press")), 1)
@@ -226,7 +226,7 @@
 		is.NoErr(err)
 		_, revision, _ := nodes[0].Service("press")
 		is.True(f.publish(nodes[0], record("press", 1, revision)).Accepted)
-		is.NoErr(f.write(platform.KindSnapshot, old))
+		is.NoErr(f.write(sharedlog.KindSnapshot, old))
 		late := f.start("d1", "d", f.log)
 		time.Sleep(5 * time.Second)
 		for _, n := range append(nodes, late) {
--- a/replica/follow.go
+++ b/replica/follow.go
@@ -7,7 +7,7 @@
 
 	"marjoramlug.example/marjoramlug/config"
 	"marjoramlug.example/marjoramlug/ownership"
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 // readLimit is the number of records read at once.
@@ -48,7 +48,7 @@
 	r.options.Metrics.Add("log.reads", 1)
 	records, err := r.options.Log.Read(ctx, r.next(), readLimit)
 	switch {
-	case errors.Is(err, platform.ErrTrimmed):
+	case errors.Is(err, sharedlog.ErrTrimmed):
 		return r.trimmed(ctx)
 	case err != nil:
 		r.readFailed()
@@ -59,7 +59,7 @@
 	return len(records) == readLimit
 }
 
-func (r *Replica) next() platform.Offset {
+func (r *Replica) next() sharedlog.Offset {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.cursor.Next()
@@ -115,7 +115,7 @@
 }
 
 // took applies what a read that began at the given time has returned.
-func (r *Replica) took(began time.Time, records []platform.Record) {
+func (r *Replica) took(began time.Time, records []sharedlog.Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	defer r.notify()
@@ -150,15 +150,15 @@
 
 // scan takes the next record. It returns false when a snapshot has moved the
 // cursor, so that the rest of the batch is not what follows.
-func (r *Replica) scan(rec platform.Record) bool {
+func (r *Replica) scan(rec sharedlog.Record) bool {
 	r.snapshots.records++
 	apply := r.cursor.Read(rec.Offset)
-	kind, body, err := platform.Unseal(rec.Data)
+	kind, body, err := sharedlog.Unseal(rec.Data)
 	if err != nil {
 		r.options.Metrics.Add("log.undecodable", 1)
 		kind = 0
 	}
-	if kind == platform.KindSnapshot {
+	if kind == sharedlog.KindSnapshot {
 		if r.sawSnapshot(body) {
 			return false
 		}
@@ -171,14 +171,14 @@
 
 // apply folds one record into the state. A record that can't be decoded has no
 // effect for any reader.
-func (r *Replica) apply(at platform.Offset, kind platform.RecordKind, body []byte) {
+func (r *Replica) apply(at sharedlog.Offset, kind sharedlog.RecordKind, body []byte) {
 	ev := ownership.LogRecord{Offset: at}
 	switch kind {
-	case platform.KindConfig:
+	case sharedlog.KindConfig:
 		ev.Service = r.applyConfig(at, body)
-	case platform.KindOwnership:
+	case sharedlog.KindOwnership:
 		var rec ownership.Record
-		if platform.DecodeBody(body, &rec) == nil {
+		if sharedlog.DecodeBody(body, &rec) == nil {
 			ev.Record = &rec
 		}
 	}
@@ -188,9 +188,9 @@
 
 // applyConfig folds an operator's record and returns what it means for the
 // assignment of shards, if anything.
-func (r *Replica) applyConfig(at platform.Offset, body []byte) *ownership.ServiceChange {
+func (r *Replica) applyConfig(at sharedlog.Offset, body []byte) *ownership.ServiceChange {
 	var rec config.Record
-	if platform.DecodeBody(body, &rec) != nil {
+	if sharedlog.DecodeBody(body, &rec) != nil {
 		return nil
 	}
 	outcome := r.config.Apply(at, rec)
--- a/replica/gone.go
+++ b/replica/gone.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"marjoramlug.example/marjoramlug/ownership"
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 // reportGoneAgents tells the log which agents this entry has had no session
@@ -21,7 +21,7 @@
 			continue
 		}
 		r.options.Metrics.Add("roster.reported_gone", 1)
-		r.goAppend(ctx, platform.KindOwnership, rec, func(platform.Offset, error) {})
+		r.goAppend(ctx, sharedlog.KindOwnership, rec, func(sharedlog.Offset, error) {})
 	}
 }
 
--- a/replica/peer.go
+++ b/replica/peer.go
@@ -6,7 +6,7 @@
 	"marjoramlug.example/marjoramlug/config"
 	"marjoramlug.example/marjoramlug/message"
 	"marjoramlug.example/marjoramlug/ownership"
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 // stateRetry is the pause between requests for a peer's state.
@@ -32,7 +32,7 @@
 	defer r.mu.Unlock()
 	reply := &message.Promise{Member: m.Member, SentAt: m.SentAt, By: string(r.core.Self().ID)}
 	ev := ownership.PromiseRequested{
-		From: ownership.MemberID(m.Member), Joined: platform.Offset(m.Joined), SentAt: m.SentAt,
+		From: ownership.MemberID(m.Member), Joined: sharedlog.Offset(m.Joined), SentAt: m.SentAt,
 	}
 	mark := len(r.queue)
 	r.stepLocked(ev)
--- a/replica/publish.go
+++ b/replica/publish.go
@@ -11,7 +11,7 @@
 
 	"marjoramlug.example/marjoramlug/config"
 	"marjoramlug.example/marjoramlug/ownership"
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 // Errors of the operators' calls.
@@ -35,7 +35,7 @@
 		return config.Outcome{}, oops.Wrap(fmt.Errorf("%w: %w", ErrNotPublished, err))
 	}
 	var outcome config.Outcome
-	err := r.write(ctx, platform.KindConfig, rec, func() bool {
+	err := r.write(ctx, sharedlog.KindConfig, rec, func() bool {
 		o, ok := r.config.Outcome(rec.ID)
 		outcome = o
 		return ok
@@ -66,7 +66,7 @@
 		Member: ownership.Member{ID: member},
 		By:     operator,
 	}
-	return r.write(ctx, platform.KindOwnership, rec, func() bool {
+	return r.write(ctx, sharedlog.KindOwnership, rec, func() bool {
 		_, ok := r.core.State().Member(member)
 		return !ok
 	})
@@ -80,7 +80,7 @@
 }
 
 // write appends an idempotent record until its effect shows in the state.
-func (r *Replica) write(ctx context.Context, kind platform.RecordKind, body any, effective func() bool) error {
+func (r *Replica) write(ctx context.Context, kind sharedlog.RecordKind, body any, effective func() bool) error {
 	mayBeWritten := false
 	for {
 		_, err := r.append(ctx, kind, body)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -15,7 +15,7 @@
 	"marjoramlug.example/marjoramlug/config"
 	"marjoramlug.example/marjoramlug/message"
 	"marjoramlug.example/marjoramlug/ownership"
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 	"marjoramlug.example/marjoramlug/settings"
 	"marjoramlug.example/marjoramlug/telemetry"
 )
@@ -51,7 +51,7 @@
 type Options struct {
 	// Self is this entry; its ID is unique to this run of the process.
 	Self      ownership.Member
-	Log       platform.Log
+	Log       sharedlog.Log
 	Platform  settings.Platform
 	Ownership settings.Ownership
 	Observer  Observer
@@ -84,7 +84,7 @@
 	cursor config.Cursor
 	// window is how many of the newest records a reader without state looks at
 	// first in search of a snapshot.
-	window platform.Offset
+	window sharedlog.Offset
 	// begun says that reading has begun, fromFirst that it began at the first
 	// record kept.
 	begun     bool
@@ -276,7 +276,7 @@
 }
 
 // Applied returns the offset of the last record applied.
-func (r *Replica) Applied() platform.Offset {
+func (r *Replica) Applied() sharedlog.Offset {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.cursor.Applied()
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -14,7 +14,7 @@
 	"marjoramlug.example/marjoramlug/config"
 	"marjoramlug.example/marjoramlug/message"
 	"marjoramlug.example/marjoramlug/ownership"
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 	"marjoramlug.example/marjoramlug/plugin/log/memory"
 	"marjoramlug.example/marjoramlug/replica"
 	"marjoramlug.example/marjoramlug/settings"
@@ -67,7 +67,7 @@
 }
 
 // start runs an entry at an address.
-func (f *fleet) start(id, address string, log platform.Log) *node {
+func (f *fleet) start(id, address string, log sharedlog.Log) *node {
 	p, o := testSettings()
 	n := &node{
 		address: address, ended: make(chan struct{}),
@@ -233,8 +233,8 @@
 }
 
 // write writes a record past the replicas.
-func (f *fleet) write(kind platform.RecordKind, body any) error {
-	data, err := platform.Seal(kind, body)
+func (f *fleet) write(kind sharedlog.RecordKind, body any) error {
+	data, err := sharedlog.Seal(kind, body)
 	if err != nil {
 		return err
 	}
@@ -251,8 +251,8 @@
 	count := 0
 	for _, rec := range records {
 		var r config.Record
-		kind, body, err := platform.Unseal(rec.Data)
-		if err == nil && kind == platform.KindConfig && platform.DecodeBody(body, &r) == nil && r.Service == service {
+		kind, body, err := sharedlog.Unseal(rec.Data)
+		if err == nil && kind == sharedlog.KindConfig && sharedlog.DecodeBody(body, &r) == nil && r.Service == service {
 			count++
 		}
 	}
--- a/replica/roster.go
+++ b/replica/roster.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"marjoramlug.example/marjoramlug/ownership"
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 const (
@@ -36,7 +36,7 @@
 
 // goneReport is a RecordAgentGone that was sent.
 type goneReport struct {
-	registered platform.Offset
+	registered sharedlog.Offset
 	at         time.Time
 }
 
@@ -80,7 +80,7 @@
 // flushRoster writes the names that are due, one record a service.
 func (r *Replica) flushRoster(ctx context.Context) {
 	for _, rec := range r.dueRoster(time.Now()) {
-		r.goAppend(ctx, platform.KindOwnership, rec, func(platform.Offset, error) {
+		r.goAppend(ctx, sharedlog.KindOwnership, rec, func(sharedlog.Offset, error) {
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			// What the log does not show by then is written again; a name that
--- a/replica/snapshot.go
+++ b/replica/snapshot.go
@@ -8,7 +8,7 @@
 
 	"marjoramlug.example/marjoramlug/config"
 	"marjoramlug.example/marjoramlug/ownership"
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 const (
@@ -27,7 +27,7 @@
 type snapshots struct {
 	// newest is the offset covered by the newest one, records the number of
 	// records read since it was read.
-	newest  platform.Offset
+	newest  sharedlog.Offset
 	records int
 	// due is when the next one is to be written.
 	due     time.Time
@@ -44,7 +44,7 @@
 // adopted.
 func (r *Replica) sawSnapshot(body []byte) bool {
 	var s config.Snapshot
-	if platform.DecodeBody(body, &s) != nil {
+	if sharedlog.DecodeBody(body, &s) != nil {
 		return false
 	}
 	r.scheduleSnapshot(s.Covered)
@@ -53,7 +53,7 @@
 
 // scheduleSnapshot notes a snapshot and when the next is due. Jitter keeps the
 // entries from writing the same one all at once.
-func (r *Replica) scheduleSnapshot(covered platform.Offset) {
+func (r *Replica) scheduleSnapshot(covered sharedlog.Offset) {
 	if covered < r.snapshots.newest {
 		return
 	}
@@ -135,7 +135,7 @@
 		return
 	}
 	r.options.Metrics.Add("snapshots.written", 1)
-	r.goAppend(ctx, platform.KindSnapshot, s, func(platform.Offset, error) {
+	r.goAppend(ctx, sharedlog.KindSnapshot, s, func(sharedlog.Offset, error) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.snapshots.writing = false
--- a/platform/contract_test.go
+++ b/sharedlog/contract_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package sharedlog_test
 
 import (
 	"bytes"
@@ -15,7 +15,7 @@
 	"github.com/matryer/is"
 
 	"marjoramlug.example/marjoramlug/kernel"
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 	_ "marjoramlug.example/marjoramlug/plugin/log/http" // log.http
 	"marjoramlug.example/marjoramlug/plugin/log/memory"
 	"marjoramlug.example/marjoramlug/settings"
@@ -24,14 +24,14 @@
 
 // fixture is an empty log under test and the means to disturb it.
 type fixture struct {
-	Log platform.Log
+	Log sharedlog.Log
 	// SetFaults replaces the faults in force.
 	SetFaults func(memory.Faults)
 	// Trim drops all records before first.
-	Trim func(first platform.Offset)
+	Trim func(first sharedlog.Offset)
 }
 
-// TestContract checks what every implementation of platform.Log keeps.
+// TestContract checks what every implementation of sharedlog.Log keeps.
 func TestContract(t *testing.T) {
 	t.Run("memory", func(t *testing.T) { checkContract(t, openMemory) })
 	t.Run("http", func(t *testing.T) { checkContract(t, openHTTP) })
@@ -45,7 +45,7 @@
 func openHTTP(t *testing.T) fixture {
 	server := httptest.NewServer(logserver.Handler(memory.New(memory.Options{})))
 	t.Cleanup(server.Close)
-	opener, err := kernel.Load[platform.Opener]("log.http")
+	opener, err := kernel.Load[sharedlog.Opener]("log.http")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -56,7 +56,7 @@
 	return fixture{
 		Log:       log,
 		SetFaults: func(f memory.Faults) { send(t, http.MethodPut, server.URL+logserver.FaultsPath, f) },
-		Trim: func(first platform.Offset) {
+		Trim: func(first sharedlog.Offset) {
 			send(t, http.MethodPost, server.URL+logserver.TrimPath, logserver.Trim{First: first})
 		},
 	}
@@ -108,7 +108,7 @@
 	}
 }
 
-func appendAll(t *testing.T, log platform.Log, data ...string) {
+func appendAll(t *testing.T, log sharedlog.Log, data ...string) {
 	t.Helper()
 	for _, d := range data {
 		if _, err := log.Append(t.Context(), []byte(d)); err != nil {
@@ -117,7 +117,7 @@
 	}
 }
 
-func readAll(t *testing.T, log platform.Log, from platform.Offset) []string {
+func readAll(t *testing.T, log sharedlog.Log, from sharedlog.Offset) []string {
 	t.Helper()
 	const limit = 1000
 	records, err := log.Read(t.Context(), from, limit)
@@ -126,7 +126,7 @@
 	}
 	var data []string
 	for i, r := range records {
-		if want := from + platform.Offset(i); r.Offset != want {
+		if want := from + sharedlog.Offset(i); r.Offset != want {
 			t.Fatalf("record %d has offset %d, want %d", i, r.Offset, want)
 		}
 		data = append(data, string(r.Data))
@@ -134,7 +134,7 @@
 	return data
 }
 
-func bounds(t *testing.T, log platform.Log) platform.Bounds {
+func bounds(t *testing.T, log sharedlog.Log) sharedlog.Bounds {
 	t.Helper()
 	b, err := log.Bounds(t.Context())
 	if err != nil {
@@ -145,12 +145,12 @@
 
 func checkOffsets(t *testing.T, f fixture) {
 	is := is.New(t)
-	for want := platform.Offset(1); want <= 3; want++ {
+	for want := sharedlog.Offset(1); want <= 3; want++ {
 		got, err := f.Log.Append(t.Context(), []byte{byte(want)})
 		is.NoErr(err)
 		is.Equal(got, want)
 	}
-	is.Equal(bounds(t, f.Log), platform.Bounds{First: 1, Next: 4})
+	is.Equal(bounds(t, f.Log), sharedlog.Bounds{First: 1, Next: 4})
 	is.Equal(readAll(t, f.Log, 1), []string{"\x01", "\x02", "\x03"})
 }
 
@@ -159,7 +159,7 @@
 	appendAll(t, f.Log, "a", "b", "c")
 	page, err := f.Log.Read(t.Context(), 2, 1)
 	is.NoErr(err)
-	is.Equal(page, []platform.Record{{Offset: 2, Data: []byte("b")}})
+	is.Equal(page, []sharedlog.Record{{Offset: 2, Data: []byte("b")}})
 	is.Equal(readAll(t, f.Log, 3), []string{"c"})
 	is.Equal(len(readAll(t, f.Log, 4)), 0)
 	is.Equal(len(readAll(t, f.Log, 99)), 0)
@@ -167,7 +167,7 @@
 
 func checkEmpty(t *testing.T, f fixture) {
 	is := is.New(t)
-	is.Equal(bounds(t, f.Log), platform.Bounds{First: 1, Next: 1})
+	is.Equal(bounds(t, f.Log), sharedlog.Bounds{First: 1, Next: 1})
 	is.Equal(len(readAll(t, f.Log, 1)), 0)
 }
 
@@ -185,7 +185,7 @@
 
 func checkConcurrent(t *testing.T, f fixture) {
 	const writers, each = 8, 20
-	offsets := make(chan platform.Offset, writers*each)
+	offsets := make(chan sharedlog.Offset, writers*each)
 	var group sync.WaitGroup
 	for w := range writers {
 		group.Go(func() {
@@ -200,7 +200,7 @@
 	}
 	group.Wait()
 	close(offsets)
-	seen := map[platform.Offset]bool{}
+	seen := map[sharedlog.Offset]bool{}
 	for offset := range offsets {
 		seen[offset] = true
 	}
@@ -213,45 +213,45 @@
 	is := is.New(t)
 	appendAll(t, f.Log, "a", "b", "c")
 	f.Trim(3)
-	is.Equal(bounds(t, f.Log), platform.Bounds{First: 3, Next: 4})
-	for _, from := range []platform.Offset{0, 1, 2} {
+	is.Equal(bounds(t, f.Log), sharedlog.Bounds{First: 3, Next: 4})
+	for _, from := range []sharedlog.Offset{0, 1, 2} {
 		_, err := f.Log.Read(t.Context(), from, 10)
-		is.True(errors.Is(err, platform.ErrTrimmed)) // a record before the first kept one
+		is.True(errors.Is(err, sharedlog.ErrTrimmed)) // a record before the first kept one
 	}
 	is.Equal(readAll(t, f.Log, 3), []string{"c"})
 	f.Trim(2)
-	is.Equal(bounds(t, f.Log).First, platform.Offset(3)) // the first offset never goes back
+	is.Equal(bounds(t, f.Log).First, sharedlog.Offset(3)) // the first offset never goes back
 }
 
 func checkTrimAll(t *testing.T, f fixture) {
 	is := is.New(t)
 	appendAll(t, f.Log, "a", "b")
 	f.Trim(99)
-	is.Equal(bounds(t, f.Log), platform.Bounds{First: 3, Next: 3})
+	is.Equal(bounds(t, f.Log), sharedlog.Bounds{First: 3, Next: 3})
 	offset, err := f.Log.Append(t.Context(), []byte("c"))
 	is.NoErr(err)
-	is.Equal(offset, platform.Offset(3))
+	is.Equal(offset, sharedlog.Offset(3))
 }
 
 func checkDown(t *testing.T, f fixture) {
 	is := is.New(t)
 	f.SetFaults(memory.Faults{Down: true})
 	_, err := f.Log.Append(t.Context(), []byte("a"))
-	is.True(errors.Is(err, platform.ErrUnavailable)) // append
-	is.True(!errors.Is(err, platform.ErrUnknown))    // a refusal is definite
+	is.True(errors.Is(err, sharedlog.ErrUnavailable)) // append
+	is.True(!errors.Is(err, sharedlog.ErrUnknown))    // a refusal is definite
 	_, err = f.Log.Read(t.Context(), 1, 1)
-	is.True(errors.Is(err, platform.ErrUnavailable)) // read
+	is.True(errors.Is(err, sharedlog.ErrUnavailable)) // read
 	_, err = f.Log.Bounds(t.Context())
-	is.True(errors.Is(err, platform.ErrUnavailable)) // bounds
+	is.True(errors.Is(err, sharedlog.ErrUnavailable)) // bounds
 	f.SetFaults(memory.Faults{})
-	is.Equal(bounds(t, f.Log).Next, platform.Offset(1)) // nothing was written
+	is.Equal(bounds(t, f.Log).Next, sharedlog.Offset(1)) // nothing was written
 }
 
 func checkLostAnswer(t *testing.T, f fixture) {
 	is := is.New(t)
 	f.SetFaults(memory.Faults{LostAnswers: 1})
 	_, err := f.Log.Append(t.Context(), []byte("a"))
-	is.True(errors.Is(err, platform.ErrUnknown))
+	is.True(errors.Is(err, sharedlog.ErrUnknown))
 	is.Equal(readAll(t, f.Log, 1), []string{"a"}) // written, and once only
 	appendAll(t, f.Log, "b")
 	is.Equal(readAll(t, f.Log, 1), []string{"a", "b"})
@@ -261,7 +261,7 @@
 	is := is.New(t)
 	f.SetFaults(memory.Faults{LostAppends: 1})
 	_, err := f.Log.Append(t.Context(), []byte("a"))
-	is.True(errors.Is(err, platform.ErrUnknown))
+	is.True(errors.Is(err, sharedlog.ErrUnknown))
 	appendAll(t, f.Log, "b")
 	is.Equal(readAll(t, f.Log, 1), []string{"b"})
 }
@@ -271,10 +271,10 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	_, err := f.Log.Append(ctx, []byte("a"))
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, sharedlog.ErrUnavailable))
 	_, err = f.Log.Read(ctx, 1, 1)
-	is.True(errors.Is(err, platform.ErrUnavailable))
-	is.Equal(bounds(t, f.Log).Next, platform.Offset(1))
+	is.True(errors.Is(err, sharedlog.ErrUnavailable))
+	is.Equal(bounds(t, f.Log).Next, sharedlog.Offset(1))
 }
 
 // slow is longer than any test runs; the calls end by their context.
@@ -287,10 +287,10 @@
 		_, err := f.Log.Append(ctx, []byte("a"))
 		return err
 	})
-	is.True(errors.Is(err, platform.ErrUnknown) || errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, sharedlog.ErrUnknown) || errors.Is(err, sharedlog.ErrUnavailable))
 	f.SetFaults(memory.Faults{})
-	if errors.Is(err, platform.ErrUnavailable) {
-		is.Equal(bounds(t, f.Log).Next, platform.Offset(1)) // the error says that nothing was written
+	if errors.Is(err, sharedlog.ErrUnavailable) {
+		is.Equal(bounds(t, f.Log).Next, sharedlog.Offset(1)) // the error says that nothing was written
 	}
 }
 
@@ -301,7 +301,7 @@
 		_, err := f.Log.Read(ctx, 1, 1)
 		return err
 	})
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, sharedlog.ErrUnavailable))
 }
 
 // cancelledMidway ends a call's context while the call may be under way.
@@ -318,6 +318,6 @@
 	_, err := f.Log.Append(t.Context(), make([]byte, memory.MaxRecordBytes))
 	is.NoErr(err)
 	_, err = f.Log.Append(t.Context(), make([]byte, memory.MaxRecordBytes+1))
-	is.True(errors.Is(err, platform.ErrTooLarge))
-	is.Equal(bounds(t, f.Log).Next, platform.Offset(2))
+	is.True(errors.Is(err, sharedlog.ErrTooLarge))
+	is.Equal(bounds(t, f.Log).Next, sharedlog.Offset(2))
 }
--- a/platform/log.go
+++ b/sharedlog/log.go
@@ -1,6 +1,6 @@
-// Package platform defines what the system needs of the platform: an
+// Package sharedlog defines what the system needs of the platform: an
 // append-only log with offsets that keeps records for a limited time.
-package platform
+package sharedlog
 
 import (
 	"context"
--- a/platform/wire.go
+++ b/sharedlog/wire.go
@@ -1,4 +1,4 @@
-package platform
+package sharedlog
 
 // The paths of the log service's HTTP interface.
 const (
--- a/standin/logserver/logserver.go
+++ b/standin/logserver/logserver.go
@@ -9,7 +9,7 @@
 	"net/http"
 	"strconv"
 
-	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/sharedlog"
 	"marjoramlug.example/marjoramlug/plugin/log/memory"
 )
 
@@ -23,7 +23,7 @@
 
 // Trim orders the log to drop all records before First.
 type Trim struct {
-	First platform.Offset `json:"first"`
+	First sharedlog.Offset `json:"first"`
 }
 
 type server struct {
@@ -34,9 +34,9 @@
 func Handler(log *memory.Log) http.Handler {
 	s := &server{log: log}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+platform.RecordsPath, s.append)
-	mux.HandleFunc("GET "+platform.RecordsPath, s.read)
-	mux.HandleFunc("GET "+platform.BoundsPath, s.bounds)
+	mux.HandleFunc("POST "+sharedlog.RecordsPath, s.append)
+	mux.HandleFunc("GET "+sharedlog.RecordsPath, s.read)
+	mux.HandleFunc("GET "+sharedlog.BoundsPath, s.bounds)
 	mux.HandleFunc("GET "+FaultsPath, s.getFaults)
 	mux.HandleFunc("PUT "+FaultsPath, s.putFaults)
 	mux.HandleFunc("POST "+TrimPath, s.trim)
@@ -54,7 +54,7 @@
 		fail(w, err)
 		return
 	}
-	reply(w, http.StatusCreated, platform.AppendReply{Offset: offset})
+	reply(w, http.StatusCreated, sharedlog.AppendReply{Offset: offset})
 }
 
 func (s *server) read(w http.ResponseWriter, r *http.Request) {
@@ -64,12 +64,12 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	records, err := s.log.Read(r.Context(), platform.Offset(from), limit)
+	records, err := s.log.Read(r.Context(), sharedlog.Offset(from), limit)
 	if err != nil {
 		fail(w, err)
 		return
 	}
-	reply(w, http.StatusOK, platform.ReadReply{Records: records})
+	reply(w, http.StatusOK, sharedlog.ReadReply{Records: records})
 }
 
 func (s *server) bounds(w http.ResponseWriter, r *http.Request) {
@@ -107,11 +107,11 @@
 // with a broken connection.
 func fail(w http.ResponseWriter, err error) {
 	switch {
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, sharedlog.ErrUnknown):
 		panic(http.ErrAbortHandler)
-	case errors.Is(err, platform.ErrTrimmed):
+	case errors.Is(err, sharedlog.ErrTrimmed):
 		http.Error(w, err.Error(), http.StatusGone)
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, sharedlog.ErrTooLarge):
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 	default:
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
