--- a/command/command.go
+++ b/command/command.go
@@ -24,19 +24,20 @@
 var ErrUsage = errors.New("usage")
 
 type cli struct {
-	Entry   entryCommand   `cmd:"" help:"Run an entry."`
-	Agent   agentCommand   `cmd:"" help:"Run an agent."`
-	Standin standinCommand `cmd:"" help:"Run a stand-in of the platform's log or of an endpoint."`
-	Demo    demoCommand    `cmd:"" help:"Run a whole system in one process and submit jobs to it."`
-	Load    loadCommand    `cmd:"" help:"Send an open loop of jobs to a system and report."`
-	Slopes  slopesCommand  `cmd:"" help:"Measure what each role costs per agent, start, job and record."`
-	Job     jobCommand     `cmd:"" help:"Submit, look up or cancel a job."`
-	Config  configCommand  `cmd:"" help:"Read and change services."`
-	Owner   ownerCommand   `cmd:"" help:"List and remove the entries that own shards."`
-	Check   checkCommand   `cmd:"" help:"Check settings files."`
-	Keys    keysCommand    `cmd:"" help:"Make certificates for mutual TLS between processes."`
-	Top     topCommand     `cmd:"" help:"Show an entry live in the terminal."`
-	Version versionCommand `cmd:"" help:"Print the version."`
+	Entry    entryCommand    `cmd:"" help:"Run an entry."`
+	Agent    agentCommand    `cmd:"" help:"Run an agent."`
+	Platform platformCommand `cmd:"" help:"Run the product on the users' platform."`
+	Standin  standinCommand  `cmd:"" help:"Run a stand-in of the platform's log or of an endpoint."`
+	Demo     demoCommand     `cmd:"" help:"Run a whole system in one process and submit jobs to it."`
+	Load     loadCommand     `cmd:"" help:"Send an open loop of jobs to a system and report."`
+	Slopes   slopesCommand   `cmd:"" help:"Measure what each role costs per agent, start, job and record."`
+	Job      jobCommand      `cmd:"" help:"Submit, look up or cancel a job."`
+	Config   configCommand   `cmd:"" help:"Read and change services."`
+	Owner    ownerCommand    `cmd:"" help:"List and remove the entries that own shards."`
+	Check    checkCommand    `cmd:"" help:"Check settings files."`
+	Keys     keysCommand     `cmd:"" help:"Make certificates for mutual TLS between processes."`
+	Top      topCommand      `cmd:"" help:"Show an entry live in the terminal."`
+	Version  versionCommand  `cmd:"" help:"Print the version."`
 
 	Completion completionCommand `cmd:"" help:"Print the line that switches on completion in your shell."`
 }
--- a/command/entry.go
+++ b/command/entry.go
@@ -6,8 +6,8 @@
 
 	"marjoramlug.example/marjoramlug/entry"
 	"marjoramlug.example/marjoramlug/kernel"
-	"marjoramlug.example/marjoramlug/sharedlog"
 	"marjoramlug.example/marjoramlug/settings"
+	"marjoramlug.example/marjoramlug/sharedlog"
 	"marjoramlug.example/marjoramlug/telemetry"
 )
 
--- /dev/null
+++ b/command/platform.go
@@ -0,0 +1,122 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/settings"
+	"marjoramlug.example/marjoramlug/telemetry"
+	"marjoramlug.example/marjoramlug/transport"
+)
+
+// settingsPoll is how often a settings file is compared with the one in use, as
+// it may change without a signal.
+const settingsPoll = 2 * time.Second
+
+type platformCommand struct {
+	Entry platformEntryCommand `cmd:"" help:"Run an entry on the users' platform."`
+	Agent platformAgentCommand `cmd:"" help:"Run an agent on the users' platform."`
+}
+
+type platformEntryCommand struct {
+	Settings string `arg:"" env:"MARJORAMLUG_BOOT" help:"Settings file with a pool_entry section."`
+}
+
+// Run runs an entry until a signal asks it to stop.
+func (c platformEntryCommand) Run() error {
+	return runOnPlatform(c.Settings, "entry", func(file *settings.File, env platform.Environment) (platform.Process, error) {
+		if file.PoolEntry == nil {
+			return nil, fmt.Errorf("%w: %s has no pool_entry section", ErrUsage, c.Settings)
+		}
+		return platform.StartEntry(*file.PoolEntry, env)
+	})
+}
+
+type platformAgentCommand struct {
+	Settings string `arg:"" env:"MARJORAMLUG_BOOT" help:"Settings file with a pool_agent section."`
+}
+
+// Run runs an agent until a signal asks it to stop.
+func (c platformAgentCommand) Run() error {
+	return runOnPlatform(c.Settings, "agent", func(file *settings.File, env platform.Environment) (platform.Process, error) {
+		if file.PoolAgent == nil {
+			return nil, fmt.Errorf("%w: %s has no pool_agent section", ErrUsage, c.Settings)
+		}
+		return platform.StartAgent(*file.PoolAgent, env)
+	})
+}
+
+type startFunc func(*settings.File, platform.Environment) (platform.Process, error)
+
+func runOnPlatform(path, role string, start startFunc) error {
+	file, err := loadSettings(path)
+	if err != nil {
+		return err
+	}
+	metrics := telemetry.New()
+	network, err := transport.NewQUIC(settings.TLS{}, transport.WithMetrics(metrics))
+	if err != nil {
+		return err
+	}
+	events := telemetry.NewEventLog(os.Stdout, role, platform.LogLevel(file.Log))
+	process, err := start(file, platform.Environment{Network: network, Metrics: metrics, Log: events, Version: Version})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go watchSettings(ctx, path, events, process.Reload)
+	err = runUntilSignal(stopLimit(file), process.Stop)
+	// What can't be written any more has no reader.
+	_ = events.Close()
+	return err
+}
+
+func stopLimit(file *settings.File) time.Duration {
+	if file.PoolEntry != nil {
+		return file.PoolEntry.Timing.Grace
+	}
+	return file.PoolAgent.Timing.Grace
+}
+
+// watchSettings takes over the settings file at each SIGHUP and when it has
+// changed. A file that can't be used leaves the settings as they are.
+func watchSettings(ctx context.Context, path string, events *telemetry.EventLog, reload func(*settings.File)) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	poll := time.NewTicker(settingsPoll)
+	defer poll.Stop()
+	last, _ := os.ReadFile(path)
+	for {
+		asked := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			asked = true
+		case <-poll.C:
+		}
+		data, err := os.ReadFile(path)
+		if err == nil && !asked && bytes.Equal(data, last) {
+			continue
+		}
+		var file *settings.File
+		if err == nil {
+			last = data
+			file, err = settings.Parse(data)
+		}
+		if err != nil {
+			events.Lifecycle().Str("event", "settings not reloaded").Err(err).Msg("")
+			continue
+		}
+		reload(file)
+		events.Lifecycle().Str("event", "settings reloaded").Bool("signal", asked).Msg("")
+	}
+}
--- a/message/codec.go
+++ b/message/codec.go
@@ -42,6 +42,12 @@
 	KindStateRequest
 	KindStateReply
 	KindRoster
+	KindRunOrders
+	KindRunReport
+	KindEndedJobs
+	KindJobSearch
+	KindJobFound
+	KindEntryState
 	kindEnd
 )
 
@@ -53,7 +59,7 @@
 	KindAnswer: "answer", KindCancelJob: "cancel-job", KindStatusRequest: "status-request",
 	KindStatus: "status", KindAbandon: "abandon", KindPromiseRequest: "promise-request",
 	KindPromise: "promise", KindStateRequest: "state-request", KindStateReply: "state-reply",
-	KindRoster: "roster",
+	KindRoster: "roster", KindRunOrders: "run-orders", KindRunReport: "run-report", KindEndedJobs: "ended-jobs", KindJobSearch: "job-search", KindJobFound: "job-found", KindEntryState: "entry-state",
 }
 
 // String returns the name under which messages of the kind are counted.
@@ -148,6 +154,24 @@
 // Kind implements Message.
 func (*Roster) Kind() Kind { return KindRoster }
 
+// Kind implements Message.
+func (*RunOrders) Kind() Kind { return KindRunOrders }
+
+// Kind implements Message.
+func (*RunReport) Kind() Kind { return KindRunReport }
+
+// Kind implements Message.
+func (*EndedJobs) Kind() Kind { return KindEndedJobs }
+
+// Kind implements Message.
+func (*JobSearch) Kind() Kind { return KindJobSearch }
+
+// Kind implements Message.
+func (*JobFound) Kind() Kind { return KindJobFound }
+
+// Kind implements Message.
+func (*EntryState) Kind() Kind { return KindEntryState }
+
 var constructors = [kindEnd]func() Message{
 	KindHello:          func() Message { return new(Hello) },
 	KindAnnounce:       func() Message { return new(Announce) },
@@ -174,6 +198,12 @@
 	KindStateRequest:   func() Message { return new(StateRequest) },
 	KindStateReply:     func() Message { return new(StateReply) },
 	KindRoster:         func() Message { return new(Roster) },
+	KindRunOrders:      func() Message { return new(RunOrders) },
+	KindRunReport:      func() Message { return new(RunReport) },
+	KindEndedJobs:      func() Message { return new(EndedJobs) },
+	KindJobSearch:      func() Message { return new(JobSearch) },
+	KindJobFound:       func() Message { return new(JobFound) },
+	KindEntryState:     func() Message { return new(EntryState) },
 }
 
 // maxArrayElements bounds arrays in a message; a job has at most 1,900 tasks and a
--- /dev/null
+++ b/pool/node/agent.go
@@ -0,0 +1,268 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"marjoramlug.example/marjoramlug/message"
+	"marjoramlug.example/marjoramlug/pool/worker"
+	"marjoramlug.example/marjoramlug/settings"
+	"marjoramlug.example/marjoramlug/telemetry"
+	"marjoramlug.example/marjoramlug/transport"
+)
+
+const (
+	// agentTick is how often an agent looks at the time: a quarter of its
+	// heartbeat.
+	agentTick = 25 * time.Millisecond
+	// eventQueue is the number of events that wait before their senders block.
+	eventQueue = 4096
+	// callTimeout bounds a call to an endpoint on the same machine, besides what
+	// the call may wait for by itself.
+	callTimeout = 200 * time.Millisecond
+)
+
+// Endpoint carries out an agent's calls. Each call returns when the endpoint
+// has answered or ctx has ended.
+type Endpoint interface {
+	Start(ctx context.Context, call worker.StartCall) worker.StartAnswered
+	Stop(ctx context.Context, call worker.StopCall) worker.StopAnswered
+	Look(ctx context.Context, call worker.LookCall) worker.LookAnswered
+}
+
+// AgentOptions are what an agent needs besides its settings.
+type AgentOptions struct {
+	Network  transport.Network
+	Endpoint Endpoint
+	Metrics  *telemetry.Registry
+	Log      *telemetry.EventLog
+	Version  string
+}
+
+// Agent runs tasks at one endpoint. Call Run once.
+type Agent struct {
+	settings settings.PoolAgent
+	opts     AgentOptions
+	core     *worker.Core
+	sessions *sessions
+	dialer   *dialer
+	events   chan agentEvent
+	drained  chan struct{}
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+}
+
+// agentEvent is an event of the core; done, when set, is closed after it.
+type agentEvent struct {
+	event worker.Event
+	done  chan struct{}
+}
+
+// NewAgent returns an agent that has not started.
+func NewAgent(s settings.PoolAgent, o AgentOptions) *Agent {
+	ctx, cancel := context.WithCancel(context.Background())
+	a := &Agent{
+		settings: s, opts: o, sessions: newSessions(),
+		core: worker.New(worker.Options{
+			Lease: s.Timing.Lease, Silence: s.Timing.Silence, Random: rand.IntN,
+		}),
+		events:  make(chan agentEvent, eventQueue),
+		drained: make(chan struct{}),
+		ctx:     ctx, cancel: cancel,
+	}
+	self := message.Hello{
+		Role: message.RoleAgent, Name: s.Name, Incarnation: rand.Uint64() | 1,
+		Zone: s.Zone, Region: s.Region, Version: o.Version,
+	}
+	a.dialer = newDialer(o.Network, self, a)
+	return a
+}
+
+// Run serves until Drain has ended or Close is called.
+func (a *Agent) Run() {
+	ticker := time.NewTicker(agentTick)
+	defer ticker.Stop()
+	publish := time.NewTicker(publishInterval)
+	defer publish.Stop()
+	for {
+		select {
+		case <-a.ctx.Done():
+			return
+		case <-ticker.C:
+			a.step(worker.Tick{})
+		case e := <-a.events:
+			a.step(e.event)
+			if e.done != nil {
+				close(e.done)
+			}
+		case <-publish.C:
+			a.publish()
+		}
+	}
+}
+
+// SetEntries replaces the addresses of the entries to work for.
+func (a *Agent) SetEntries(addresses []string) { a.dialer.set(a.ctx, addresses) }
+
+// Announce hands over an endpoint's announcement of itself and returns when it
+// has taken effect.
+func (a *Agent) Announce(ev worker.EndpointSeen) { a.postAndWait(ev) }
+
+// Leave says that an endpoint has ended, and returns when that has taken
+// effect.
+func (a *Agent) Leave(name string) { a.postAndWait(worker.EndpointLeft{Name: name}) }
+
+// Drain takes no new tasks and returns when the last has ended and been
+// reported, or with ctx.
+func (a *Agent) Drain(ctx context.Context) error {
+	a.post(worker.StopRequested{})
+	select {
+	case <-a.drained:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// Close ends everything at once.
+func (a *Agent) Close() {
+	a.cancel()
+	for _, c := range a.sessions.all() {
+		c.Close()
+	}
+}
+
+func (a *Agent) post(ev worker.Event) {
+	select {
+	case a.events <- agentEvent{event: ev}:
+	case <-a.ctx.Done():
+	}
+}
+
+func (a *Agent) postAndWait(ev worker.Event) {
+	done := make(chan struct{})
+	select {
+	case a.events <- agentEvent{event: ev, done: done}:
+	case <-a.ctx.Done():
+		return
+	}
+	select {
+	case <-done:
+	case <-a.ctx.Done():
+	}
+}
+
+// Connected implements transport.Handler.
+func (a *Agent) Connected(c transport.Conn) {
+	id := a.sessions.add(c)
+	peer := c.Peer()
+	a.post(worker.SessionOpened{Session: worker.Session(id), Entry: peer.Name, Incarnation: peer.Incarnation})
+}
+
+// Received implements transport.Handler.
+func (a *Agent) Received(c transport.Conn, m message.Message) {
+	if orders, ok := m.(*message.RunOrders); ok {
+		a.post(worker.OrdersReceived{Session: worker.Session(a.sessions.id(c)), Orders: orders})
+	}
+}
+
+// Disconnected implements transport.Handler.
+func (a *Agent) Disconnected(c transport.Conn, cause error) {
+	id := a.sessions.remove(c)
+	a.post(worker.SessionClosed{Session: worker.Session(id)})
+	a.opts.Log.Failure().Str("event", "entry disconnected").Str("entry", c.Peer().Name).Err(cause).Msg("")
+}
+
+func (a *Agent) step(ev worker.Event) {
+	for _, action := range a.core.Step(sinceBoot(), ev) {
+		a.perform(action)
+	}
+}
+
+func (a *Agent) perform(action worker.Action) {
+	switch action := action.(type) {
+	case worker.StartCall:
+		a.call(callTimeout, func(ctx context.Context) worker.Event { return a.opts.Endpoint.Start(ctx, action) })
+	case worker.StopCall:
+		a.call(callTimeout, func(ctx context.Context) worker.Event { return a.opts.Endpoint.Stop(ctx, action) })
+	case worker.LookCall:
+		wait := time.Duration(action.WaitMillis) * time.Millisecond
+		a.call(wait+callTimeout, func(ctx context.Context) worker.Event { return a.opts.Endpoint.Look(ctx, action) })
+	case worker.SendReport:
+		a.logEnds(action.Report)
+		a.sessions.send(uint64(action.Session), action.Report)
+	case worker.CloseSession:
+		a.sessions.close(uint64(action.Session))
+	case worker.Note:
+		a.note(action)
+	case worker.Drained:
+		close(a.drained)
+	}
+}
+
+// call carries out a call to the endpoint in a goroutine of its own.
+func (a *Agent) call(timeout time.Duration, do func(context.Context) worker.Event) {
+	a.wg.Add(1)
+	go func() {
+		defer a.wg.Done()
+		ctx, cancel := context.WithTimeout(a.ctx, timeout)
+		defer cancel()
+		a.post(do(ctx))
+	}()
+}
+
+func (a *Agent) note(n worker.Note) {
+	line := a.opts.Log.Failure()
+	line.Str("event", n.What).Str("subject", n.Subject).Str("detail", n.Detail)
+	if n.Run.Job != "" {
+		line.Str("job", n.Run.Job).Int("task", n.Run.Task).Int64("run", n.Run.Number)
+	}
+	line.Msg("")
+}
+
+// logEnds writes a line for each run that did not end well.
+func (a *Agent) logEnds(r *message.RunReport) {
+	for _, e := range r.Ends {
+		line := a.opts.Log.Routine
+		if e.Outcome != message.RunDone {
+			line = a.opts.Log.Failure
+		}
+		line().Str("event", "run ended").Str("job", e.Run.Job).Int("task", e.Run.Task).Int64("run", e.Run.Number).
+			Str("outcome", e.Outcome.String()).Str("cause", e.Cause.String()).Int64("ms", e.Millis).Msg("")
+	}
+}
+
+// publishInterval is how often the cores' counters are published.
+const publishInterval = time.Second
+
+func (a *Agent) publish() {
+	counters := a.core.Counters()
+	m := a.opts.Metrics
+	m.Set("runs.alive", int64(a.core.Runs()))
+	m.Set("runs.accepted", counters.Accepted)
+	m.Set("runs.orphaned", counters.Orphaned)
+	m.Set("runs.foreign", counters.Foreign)
+	m.Set("endpoint.resyncs", counters.Resyncs)
+	m.Set("room.offers", counters.Offers)
+	publishEnds(m, counters.Ended[:], counters.Refused[:])
+	if n := a.opts.Log.TakeOmitted(); n > 0 {
+		m.Add("log.omitted", n)
+		a.opts.Log.Lifecycle().Str("event", "lines left out").Int64("count", n).Msg("")
+	}
+}
+
+func publishEnds(m *telemetry.Registry, ended, refused []int64) {
+	for i, n := range ended {
+		if n > 0 {
+			m.Set("runs.ended."+message.RunOutcome(i).String(), n)
+		}
+	}
+	for i, n := range refused {
+		if n > 0 {
+			m.Set("runs.refused."+message.RunCause(i).String(), n)
+		}
+	}
+}
--- /dev/null
+++ b/pool/node/entry.go
@@ -0,0 +1,341 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"marjoramlug.example/marjoramlug/message"
+	"marjoramlug.example/marjoramlug/pool/scheduler"
+	"marjoramlug.example/marjoramlug/settings"
+	"marjoramlug.example/marjoramlug/telemetry"
+	"marjoramlug.example/marjoramlug/transport"
+	"marjoramlug.example/marjoramlug/verdict"
+)
+
+const (
+	// entryTick is how often an entry looks at the time: a quarter of the time in
+	// which the shortest job must be refused.
+	entryTick = 10 * time.Millisecond
+	// eventBatch bounds the events that the core takes in one step.
+	eventBatch = 256
+)
+
+// EntryOptions are what an entry needs besides its settings.
+type EntryOptions struct {
+	Network transport.Network
+	Metrics *telemetry.Registry
+	Log     *telemetry.EventLog
+	Version string
+}
+
+// Entry schedules the jobs of its callers. Call Run once.
+type Entry struct {
+	settings settings.PoolEntry
+	opts     EntryOptions
+	self     message.Hello
+	core     *scheduler.Core
+	sessions *sessions
+	peers    *peers
+	events   chan entryEvent
+	waiters  atomic.Uint64
+	ready    atomic.Bool
+	listener transport.Listener
+	ctx      context.Context
+	cancel   context.CancelFunc
+
+	// The loop alone uses these.
+	answers map[scheduler.Waiter]chan message.JobAnswer
+	batch   []scheduler.Event
+}
+
+// entryEvent is an event of the core with what the loop needs besides it, or a
+// question to the core.
+type entryEvent struct {
+	event scheduler.Event
+	// answer, set with JobSubmitted, gets the job's answer.
+	answer chan message.JobAnswer
+	ask    func(*scheduler.Core)
+}
+
+// NewEntry returns an entry that has not started.
+func NewEntry(s settings.PoolEntry, o EntryOptions) *Entry {
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &Entry{
+		settings: s, opts: o, sessions: newSessions(),
+		self: message.Hello{
+			Role: message.RoleEntry, Name: s.Name, Incarnation: rand.Uint64() | 1,
+			Zone: s.Zone, Region: s.Region, Version: o.Version, Address: s.Listen,
+		},
+		core: scheduler.New(scheduler.Options{
+			Silence: s.Timing.Silence, Lease: s.Timing.Lease, StopTime: s.Timing.StopTime,
+			Retransmit: s.Timing.Retransmit, MaxWaiting: s.MaxWaiting, Random: rand.IntN,
+		}),
+		events:  make(chan entryEvent, eventQueue),
+		ctx:     ctx,
+		cancel:  cancel,
+		answers: map[scheduler.Waiter]chan message.JobAnswer{},
+	}
+	e.peers = newPeers(e)
+	return e
+}
+
+// Listen accepts connections of agents and other entries.
+func (e *Entry) Listen() error {
+	listener, err := e.opts.Network.Listen(e.settings.Listen, e.self, e)
+	if err != nil {
+		return err
+	}
+	e.listener = listener
+	return nil
+}
+
+// Run serves until Close is called.
+func (e *Entry) Run() {
+	ticker := time.NewTicker(entryTick)
+	defer ticker.Stop()
+	publish := time.NewTicker(publishInterval)
+	defer publish.Stop()
+	for {
+		select {
+		case <-e.ctx.Done():
+			return
+		case <-ticker.C:
+			e.step(entryEvent{event: scheduler.Tick{}})
+		case ev := <-e.events:
+			e.step(ev)
+		case <-publish.C:
+			e.publish()
+			e.peers.tellState(e.core.Waiting())
+		}
+	}
+}
+
+// Close ends everything at once.
+func (e *Entry) Close() {
+	e.cancel()
+	if e.listener != nil {
+		// The sockets go with the process; nobody is left to tell of an error.
+		_ = e.listener.Close()
+	}
+}
+
+// SetPeers replaces the addresses of the other entries.
+func (e *Entry) SetPeers(addresses []string) { e.peers.set(addresses) }
+
+// Ready reports whether an endpoint takes tasks.
+func (e *Entry) Ready() bool { return e.ready.Load() }
+
+// Submit schedules a job and returns its answer. When ctx ends first the job is
+// abandoned and its tasks are stopped.
+func (e *Entry) Submit(ctx context.Context, j *scheduler.Job) message.JobAnswer {
+	w := scheduler.Waiter(e.waiters.Add(1))
+	answer := make(chan message.JobAnswer, 1)
+	j.Deadline += sinceBoot()
+	e.post(entryEvent{event: scheduler.JobSubmitted{Waiter: w, Job: j}, answer: answer})
+	select {
+	case a := <-answer:
+		return a
+	case <-ctx.Done():
+		e.post(entryEvent{event: scheduler.WaiterGone{Waiter: w}})
+		return message.Refusal(verdict.MayHaveRun, verdict.ReasonCancelled, "the caller's connection ended")
+	case <-e.ctx.Done():
+		return message.Refusal(verdict.MayHaveRun, verdict.ReasonStopping, "the entry has stopped")
+	}
+}
+
+// JobState is what an entry knows of a job.
+type JobState struct {
+	Known, Started, Completed bool
+}
+
+// Status looks a job up, here and at the other entries.
+func (e *Entry) Status(ctx context.Context, id string) JobState {
+	var state JobState
+	e.ask(ctx, func(c *scheduler.Core) {
+		state.Known, state.Started = c.Status(id)
+		state.Completed = c.Completed(id)
+	})
+	if state.Known || state.Completed {
+		return state
+	}
+	found := e.peers.search(ctx, id, false)
+	return JobState{Known: found.Known, Started: found.Started}
+}
+
+// Cancel cancels a job, here or at another entry, and reports whether it was
+// known.
+func (e *Entry) Cancel(ctx context.Context, id string) bool {
+	known := false
+	e.ask(ctx, func(c *scheduler.Core) { known, _ = c.Status(id) })
+	if known {
+		e.post(entryEvent{event: scheduler.JobCancelled{ID: id}})
+		return true
+	}
+	return e.peers.search(ctx, id, true).Known
+}
+
+// Waiting counts the jobs of a queue of which no task has started, at all
+// entries.
+func (e *Entry) Waiting(ctx context.Context, queue string) int {
+	n := 0
+	e.ask(ctx, func(c *scheduler.Core) { n = c.Waiting()[queue] })
+	return n + e.peers.waiting(queue)
+}
+
+// Busy is the number of jobs that have not been answered.
+func (e *Entry) Busy(ctx context.Context) int {
+	n := 0
+	e.ask(ctx, func(c *scheduler.Core) { n = c.Busy() })
+	return n
+}
+
+// Stop refuses new jobs from now on.
+func (e *Entry) Stop() { e.post(entryEvent{event: scheduler.StopRequested{}}) }
+
+// ask lets a question read the core and returns when it has, or with ctx.
+func (e *Entry) ask(ctx context.Context, question func(*scheduler.Core)) {
+	done := make(chan struct{})
+	e.post(entryEvent{ask: func(c *scheduler.Core) {
+		question(c)
+		close(done)
+	}})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	case <-e.ctx.Done():
+	}
+}
+
+func (e *Entry) post(ev entryEvent) {
+	select {
+	case e.events <- ev:
+	case <-e.ctx.Done():
+	}
+}
+
+// Connected implements transport.Handler.
+func (e *Entry) Connected(c transport.Conn) {
+	if c.Peer().Role != message.RoleAgent {
+		e.peers.connected(c)
+		return
+	}
+	id := e.sessions.add(c)
+	peer := c.Peer()
+	e.post(entryEvent{event: scheduler.AgentConnected{
+		Session: scheduler.Session(id), Agent: peer.Name, Incarnation: peer.Incarnation, Zone: peer.Zone,
+	}})
+}
+
+// Received implements transport.Handler.
+func (e *Entry) Received(c transport.Conn, m message.Message) {
+	if report, ok := m.(*message.RunReport); ok {
+		e.post(entryEvent{event: scheduler.AgentReported{Session: scheduler.Session(e.sessions.id(c)), Report: report}})
+		return
+	}
+	e.peers.received(c, m)
+}
+
+// Disconnected implements transport.Handler.
+func (e *Entry) Disconnected(c transport.Conn, cause error) {
+	if c.Peer().Role != message.RoleAgent {
+		e.peers.disconnected(c)
+		return
+	}
+	e.post(entryEvent{event: scheduler.AgentDisconnected{Session: scheduler.Session(e.sessions.remove(c))}})
+	e.opts.Log.Failure().Str("event", "agent disconnected").Str("agent", c.Peer().Name).Err(cause).Msg("")
+}
+
+// step takes an event and all that are waiting behind it, so that what belongs
+// to one agent leaves in one message.
+func (e *Entry) step(first entryEvent) {
+	e.batch = e.batch[:0]
+	e.take(first)
+	for len(e.batch) < eventBatch {
+		select {
+		case ev := <-e.events:
+			e.take(ev)
+			continue
+		default:
+		}
+		break
+	}
+	for _, action := range e.core.Step(sinceBoot(), e.batch...) {
+		e.perform(action)
+	}
+	e.ready.Store(e.core.Ready())
+}
+
+func (e *Entry) take(ev entryEvent) {
+	if ev.ask != nil {
+		ev.ask(e.core)
+		return
+	}
+	if submitted, ok := ev.event.(scheduler.JobSubmitted); ok {
+		e.answers[submitted.Waiter] = ev.answer
+	}
+	if gone, ok := ev.event.(scheduler.WaiterGone); ok {
+		delete(e.answers, gone.Waiter)
+	}
+	e.batch = append(e.batch, ev.event)
+}
+
+func (e *Entry) perform(action scheduler.Action) {
+	switch action := action.(type) {
+	case scheduler.SendOrders:
+		e.sessions.send(uint64(action.Session), action.Orders)
+	case scheduler.Answer:
+		if answer := e.answers[action.Waiter]; answer != nil {
+			answer <- action.Answer
+			delete(e.answers, action.Waiter)
+		}
+	case scheduler.Disconnect:
+		e.sessions.close(uint64(action.Session))
+	case scheduler.JobEnded:
+		e.jobEnded(action)
+	case scheduler.Note:
+		e.opts.Log.Failure().Str("event", action.What).Str("subject", action.Subject).
+			Str("job", action.Job).Str("detail", action.Detail).Msg("")
+	}
+}
+
+func (e *Entry) jobEnded(j scheduler.JobEnded) {
+	if j.Outcome == scheduler.JobCompleted {
+		e.peers.ended(j.Job.ID)
+	}
+	outcome := j.Outcome.String()
+	e.opts.Metrics.Add("jobs."+outcome, 1)
+	e.opts.Metrics.Observe("job.time", j.Job.Queue, outcome, j.Age)
+	e.opts.Metrics.Observe("job.waited", j.Job.Queue, outcome, j.Waited)
+	line := e.opts.Log.Failure
+	if j.Outcome == scheduler.JobCompleted && j.Age <= j.Objective {
+		line = e.opts.Log.Routine
+	}
+	line().Str("event", "job ended").Str("job", j.Job.ID).Str("queue", j.Job.Queue).Str("outcome", outcome).
+		Str("cause", j.Cause).Int("tasks", j.Job.Tasks).Int64("mcpu", j.Job.Need.MilliCPU).
+		Int64("estimate_ms", j.Job.Estimate.Milliseconds()).Int64("age_ms", j.Age.Milliseconds()).
+		Int64("waited_ms", j.Waited.Milliseconds()).Int64("objective_ms", j.Objective.Milliseconds()).
+		Int("runs", j.Runs).Int("failed", j.Failed).Int("lost", j.Lost).Int("tasks_waiting", j.Waiting).Msg("")
+}
+
+func (e *Entry) publish() {
+	counters := e.core.Counters()
+	m := e.opts.Metrics
+	m.Set("runs.started", counters.Runs)
+	m.Set("runs.rescued", counters.Rescued)
+	m.Set("jobs.late", counters.Late)
+	m.Set("entry.stalls", counters.Stalls)
+	m.Set("jobs.open", int64(e.core.Busy()))
+	publishEnds(m, counters.Ended[:], counters.Refused[:])
+	if n := e.opts.Log.TakeOmitted(); n > 0 {
+		m.Add("log.omitted", n)
+		e.opts.Log.Lifecycle().Str("event", "lines left out").Int64("count", n).Msg("")
+	}
+}
+
+// Interrupt answers all open jobs; what runs of them is stopped.
+func (e *Entry) Interrupt() {
+	e.post(entryEvent{event: scheduler.Interrupted{Cause: "this entry stops"}})
+	e.ask(e.ctx, func(*scheduler.Core) {})
+}
--- /dev/null
+++ b/pool/scheduler/agent.go
@@ -0,0 +1,330 @@
+package scheduler
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"marjoramlug.example/marjoramlug/message"
+)
+
+const (
+	// limboMargin covers clocks and the way of the last messages.
+	limboMargin = 50 * time.Millisecond
+	// clockSlack is how much longer a lease may last on a slow clock: 2 %.
+	clockSlack = 50
+	// slownessWeight is the weight of one task in what is learned of an agent's
+	// speed: about the last ten tasks count.
+	slownessWeight = 0.1
+	// maxLogRatio bounds what one task says of an agent's speed.
+	maxLogRatio = 2.5
+	// suspectRuns is the least number of runs from which slowness is concluded.
+	suspectRuns = 3
+	// failuresToPause is the number of failed jobs in a row after which an agent
+	// is paused: two may be chance where one task in 500 fails.
+	failuresToPause = 3
+	// firstPause and maxPause bound the pauses, which double: a pause costs room,
+	// a task on a bad agent costs a job's objective.
+	firstPause = 500 * time.Millisecond
+	maxPause   = 4 * time.Second
+)
+
+// agent is an agent and its endpoint as this entry sees them.
+type agent struct {
+	name        string
+	incarnation uint64
+	zone        string
+	session     Session
+	lastHeard   time.Duration
+	lastSent    time.Duration
+
+	endpoint *message.PoolEndpoint
+	// free is the room last reported, unseen what was ordered since.
+	free   message.Resources
+	unseen []unseenOrder
+	// pendingNeed is what the starts take that are not sent yet.
+	pendingNeed message.Resources
+	seq         uint64
+	stamp       int64
+	starts      map[string]*message.RunStart
+	// startOrder keeps the orders of starts deterministic.
+	startOrder []string
+	stops      []message.RunRef
+	demand     message.RunDemand
+	// owed says that a message is due although it orders nothing.
+	owed bool
+
+	runs map[message.RunRef]*run
+	// suspicion is how much longer than expected the present runs take, at least 1.
+	suspicion float64
+
+	// logSlow is the mean logarithm of run time over expectation.
+	logSlow  float64
+	failures int
+	lastBad  string
+	pause    time.Duration
+	paused   time.Duration
+	// probing says that one task is under way after a pause.
+	probing bool
+}
+
+type unseenOrder struct {
+	seq  uint64
+	need message.Resources
+}
+
+// run is a run that has not ended for sure.
+type run struct {
+	ref   message.RunRef
+	job   *job
+	task  int
+	agent *agent
+	// incarnation is the agent's that was told to start it.
+	incarnation uint64
+	// deadBy, when set, is when it has ended for sure, as the agent is out of
+	// reach.
+	deadBy  time.Duration
+	started time.Duration
+	// expected is the run time that was predicted for this agent.
+	expected time.Duration
+	stopped  bool
+	// rescued says that it was stopped for lack of progress.
+	rescued bool
+}
+
+func (a *agent) isReady() bool {
+	return a.session != 0 && a.endpoint != nil && a.endpoint.Ready
+}
+
+// room is what this entry may still order.
+func (a *agent) room() message.Resources {
+	free := a.free.Minus(a.pendingNeed)
+	for _, u := range a.unseen {
+		free = free.Minus(u.need)
+	}
+	return free
+}
+
+func (a *agent) slowness() float64 { return math.Exp(a.logSlow) }
+
+func (c *Core) connect(ev AgentConnected) {
+	a := c.agents[ev.Agent]
+	if a == nil {
+		a = &agent{name: ev.Agent, runs: map[message.RunRef]*run{}, starts: map[string]*message.RunStart{}}
+		c.agents[ev.Agent] = a
+		c.roll = append(c.roll, a)
+	}
+	if a.session != 0 {
+		c.do(Disconnect{Session: a.session})
+		c.disconnect(a.session, "connected again")
+	}
+	a.zone, a.session, a.lastHeard, a.lastSent = ev.Zone, ev.Session, c.now, 0
+	if a.incarnation != ev.Incarnation {
+		a.incarnation = ev.Incarnation
+		a.endpoint = nil
+	}
+	a.seq, a.stamp, a.unseen, a.free = 0, 0, nil, message.Resources{}
+	a.demand, a.owed = message.RunDemand{}, true
+	clear(a.starts)
+	a.startOrder, a.stops, a.pendingNeed = nil, nil, message.Resources{}
+	for _, r := range a.runs {
+		if r.stopped {
+			a.stops = append(a.stops, r.ref)
+		}
+		if r.deadBy == 0 {
+			r.deadBy = c.now + c.runsEndWithin()
+		}
+	}
+	c.sessions[ev.Session] = a
+	c.do(Note{What: "agent connected", Subject: a.name})
+}
+
+func (c *Core) disconnect(id Session, cause string) {
+	a := c.sessions[id]
+	if a == nil {
+		return
+	}
+	delete(c.sessions, id)
+	a.session, a.endpoint = 0, nil
+	for _, r := range a.runs {
+		r.deadBy = c.now + c.runsEndWithin()
+	}
+	c.do(Note{What: "agent disconnected", Subject: a.name, Detail: cause})
+}
+
+// runsEndWithin is the time after which the runs of an agent that this entry
+// has ceased to talk to have ended: the agent stops them when it hears nothing,
+// and its endpoint kills them when it hears nothing of the agent.
+func (c *Core) runsEndWithin() time.Duration {
+	silence := c.opts.Silence + c.opts.StopTime
+	lease := c.opts.Lease + c.opts.Lease/clockSlack + c.opts.StopTime
+	return max(silence, lease) + limboMargin
+}
+
+// checkAgents ends silent sessions and the runs that can't be alive any more.
+func (c *Core) checkAgents() {
+	for _, a := range c.roll {
+		if a.session != 0 && c.now-a.lastHeard > c.opts.Silence {
+			c.do(Disconnect{Session: a.session})
+			c.disconnect(a.session, "silent")
+		}
+		a.suspicion = c.suspect(a)
+	}
+}
+
+// suspect looks at what an agent's runs have in common: one that takes long
+// may have had a wrong estimate, several hardly.
+func (c *Core) suspect(a *agent) float64 {
+	sum, n := 0.0, 0
+	for _, r := range a.runs {
+		if r.deadBy > 0 && c.now >= r.deadBy {
+			c.endRun(r, message.RunEnd{Run: r.ref, Outcome: message.RunLost})
+			continue
+		}
+		if r.expected > 0 {
+			n++
+			sum += math.Log(max(1, float64(c.now-r.started)/float64(r.expected)))
+		}
+	}
+	if n < suspectRuns {
+		return 1
+	}
+	return math.Exp(sum / float64(n))
+}
+
+// endRunsOfEarlier ends the runs that an earlier incarnation of the agent has
+// started: its successor has stopped what it found.
+func (c *Core) endRunsOfEarlier(a *agent) {
+	for _, r := range a.runs {
+		if r.incarnation != a.incarnation {
+			c.endRun(r, message.RunEnd{Run: r.ref, Outcome: message.RunLost})
+		}
+	}
+}
+
+func (c *Core) takeReport(id Session, report *message.RunReport) {
+	a := c.sessions[id]
+	if a == nil {
+		return
+	}
+	a.lastHeard = c.now
+	a.stamp = report.Stamp
+	a.free = report.Free
+	a.unseen = slices.DeleteFunc(a.unseen, func(u unseenOrder) bool { return u.seq <= report.Orders })
+	if report.Endpoint != nil {
+		c.takeEndpoint(a, report.Endpoint)
+	}
+	for i := range report.Ends {
+		if r := a.runs[report.Ends[i].Run]; r != nil {
+			c.endRun(r, report.Ends[i])
+		}
+	}
+	if len(report.Ends) > 0 {
+		a.owed = true
+	}
+	if report.Sync {
+		c.sync(a, report.Live)
+	}
+}
+
+func (c *Core) takeEndpoint(a *agent, e *message.PoolEndpoint) {
+	if a.endpoint == nil || a.endpoint.Ready != e.Ready || a.endpoint.Name != e.Name {
+		c.do(Note{What: "endpoint", Subject: a.name, Detail: readiness(e)})
+	}
+	if a.endpoint != nil && a.endpoint.Name != e.Name {
+		a.logSlow, a.failures, a.pause, a.paused = 0, 0, 0, 0
+	}
+	a.endpoint = e
+	if e.Ready {
+		c.endRunsOfEarlier(a)
+	}
+}
+
+func readiness(e *message.PoolEndpoint) string {
+	if e.Ready {
+		return "takes tasks"
+	}
+	return "takes no tasks"
+}
+
+// sync ends the runs that the agent does not know: an order that it did not
+// get over the last session is refused on this one. An agent of another
+// incarnation stops what it finds before its endpoint takes tasks, so its
+// word on runs of the earlier one counts only from then on.
+func (c *Core) sync(a *agent, live []message.RunRef) {
+	alive := make(map[message.RunRef]bool, len(live))
+	for _, ref := range live {
+		alive[ref] = true
+	}
+	for ref, r := range a.runs {
+		switch {
+		case r.incarnation != a.incarnation:
+		case alive[ref]:
+			r.deadBy = 0
+		default:
+			c.endRun(r, message.RunEnd{Run: ref, Outcome: message.RunRefused, Cause: message.CauseStale})
+		}
+	}
+}
+
+// learnSpeed takes a completed run into account.
+func (c *Core) learnSpeed(r *run, took time.Duration) {
+	if r.job.Estimate <= 0 || took <= 0 {
+		return
+	}
+	ratio := float64(took) / float64(r.job.Estimate)
+	r.job.queue.learn(ratio)
+	residual := math.Log(ratio) - r.job.queue.logBias
+	residual = min(max(residual, -maxLogRatio), maxLogRatio)
+	r.agent.logSlow += slownessWeight * (residual - r.agent.logSlow)
+}
+
+// succeeded and failedAt keep the agent's record. Failures of one job count
+// once, as the job itself may be at fault.
+func (a *agent) succeeded() {
+	a.failures, a.pause, a.paused, a.probing, a.lastBad = 0, 0, 0, false, ""
+}
+
+func (c *Core) failedAt(a *agent, job string) {
+	if a.lastBad == job {
+		return
+	}
+	a.lastBad = job
+	a.failures++
+	if a.failures < failuresToPause {
+		return
+	}
+	a.pause = min(max(2*a.pause, firstPause), maxPause)
+	a.paused = c.now + a.pause
+	a.probing = false
+	c.do(Note{What: "agent paused", Subject: a.name, Job: job, Detail: a.pause.String()})
+}
+
+// flush sends what was decided, and signs of life.
+func (c *Core) flush() {
+	for _, a := range c.roll {
+		if a.session == 0 {
+			continue
+		}
+		pause := c.now - a.lastSent
+		due := len(a.startOrder) > 0 || len(a.stops) > 0 || a.owed || pause >= Heartbeat ||
+			pause >= demandPause && (a.demand.Count > 0) != (c.demandFor(a).Count > 0)
+		if !due {
+			continue
+		}
+		a.seq++
+		orders := &message.RunOrders{Seq: a.seq, Stamp: a.stamp, Stops: a.stops}
+		for _, id := range a.startOrder {
+			start := a.starts[id]
+			orders.Starts = append(orders.Starts, *start)
+			a.unseen = append(a.unseen, unseenOrder{seq: a.seq, need: start.Need.Times(int64(len(start.Runs)))})
+		}
+		if demand := c.demandFor(a); a.demand != demand {
+			a.demand, orders.Demand = demand, &demand
+		}
+		clear(a.starts)
+		a.startOrder, a.stops, a.owed, a.lastSent = nil, nil, false, c.now
+		a.pendingNeed = message.Resources{}
+		c.do(SendOrders{Session: a.session, Orders: orders})
+	}
+}
--- /dev/null
+++ b/pool/scheduler/core.go
@@ -0,0 +1,243 @@
+// Package scheduler decides at an entry which tasks of its callers' jobs start
+// at which agent, which job waits, which is refused and what is answered. Each
+// entry schedules the jobs that it has accepted; agents settle what several
+// entries want at the same time. The core reads no clock, opens no socket and
+// starts no goroutine: Step takes the time and an event and returns actions.
+package scheduler
+
+import (
+	"time"
+
+	"marjoramlug.example/marjoramlug/message"
+)
+
+// Options are the times that the core needs.
+type Options struct {
+	// Silence is how long an agent may say nothing before its session ends.
+	Silence time.Duration
+	// Lease is how long a run lives at most without its agent.
+	Lease time.Duration
+	// StopTime is how long an endpoint takes at most to stop a run.
+	StopTime time.Duration
+	// Retransmit is the pause after which callers submit again elsewhere when
+	// their connection breaks.
+	Retransmit time.Duration
+	// MaxWaiting bounds the tasks that wait; more are refused.
+	MaxWaiting int
+	// Random draws a number in [0, n) among equals; tests fix it.
+	Random func(n int) int
+}
+
+const (
+	// Heartbeat is the longest pause between two messages to an agent; see
+	// worker.Heartbeat.
+	Heartbeat = 100 * time.Millisecond
+	// stallMargin is how much sooner than Options.Retransmit a pause of this
+	// process makes it give up what it had accepted.
+	stallMargin = 300 * time.Millisecond
+	// endedMemory is how long completed jobs are remembered. Late copies of a
+	// submission come within seconds.
+	endedMemory = 60 * time.Second
+	// endedLimit bounds the completed jobs that are remembered: a minute at 1,600
+	// jobs a second.
+	endedLimit = 100_000
+)
+
+// Core decides for the jobs of one entry. It is not safe for concurrent use.
+//
+// Invariants:
+//   - A task gets another run only after the last one is known to have ended.
+//   - A job is refused only if none of its tasks was ever started by this entry.
+//   - Each waiter gets one answer, and at once when it is known.
+type Core struct {
+	opts    Options
+	now     time.Duration
+	actions []Action
+
+	jobs    map[string]*job
+	order   []*job
+	waiters map[Waiter]*job
+	queues  map[string]*queue
+	// waiting counts the tasks that wait for a start.
+	waiting int
+	// lingering counts, by job ID, the runs of jobs that have been answered.
+	lingering map[string]int
+
+	agents   map[string]*agent
+	roll     []*agent
+	sessions map[Session]*agent
+	// demand is what could not be placed, of demandService.
+	demand        message.RunDemand
+	demandService string
+	// rate is what this entry starts, in thousandths of a core, an exponential
+	// mean since rateAt.
+	rate   float64
+	rateAt time.Duration
+
+	ended      map[string]time.Duration
+	endedOrder []string
+	stopping   bool
+	counters   Counters
+}
+
+// Counters counts decisions since the start.
+type Counters struct {
+	Jobs    [JobRepeated + 1]int64
+	Runs    int64
+	Ended   [message.RunRefused + 1]int64
+	Refused [message.CauseInvalid + 1]int64
+	// Late counts jobs that were completed beyond their objective.
+	Late int64
+	// Stalls counts pauses of this process that made it give up its jobs.
+	Stalls int64
+	// Rescued counts runs that were stopped because they made no progress.
+	Rescued int64
+}
+
+// New returns a core without jobs and agents.
+func New(opts Options) *Core {
+	if opts.Random == nil {
+		opts.Random = func(int) int { return 0 }
+	}
+	return &Core{
+		opts:      opts,
+		jobs:      map[string]*job{},
+		waiters:   map[Waiter]*job{},
+		queues:    map[string]*queue{},
+		lingering: map[string]int{},
+		agents:    map[string]*agent{},
+		sessions:  map[Session]*agent{},
+		ended:     map[string]time.Duration{},
+	}
+}
+
+// Counters returns the decisions counted so far.
+func (c *Core) Counters() Counters { return c.counters }
+
+// Step advances the core to the given time since boot, applies events and
+// returns what is to be done, in order. The time includes what the machine
+// spent suspended.
+func (c *Core) Step(now time.Duration, events ...Event) []Action {
+	c.actions = nil
+	if stall := now - c.now; c.now > 0 && stall > c.opts.Retransmit-stallMargin {
+		c.now = now
+		c.counters.Stalls++
+		c.do(Note{What: "entry was held up", Detail: stall.String()})
+		// The callers may have submitted their jobs elsewhere.
+		c.interrupt("the entry was held up for " + stall.String())
+	}
+	c.now = max(c.now, now)
+	for _, ev := range events {
+		c.handle(ev)
+	}
+	c.expire()
+	c.place()
+	c.flush()
+	return c.actions
+}
+
+func (c *Core) handle(ev Event) {
+	switch ev := ev.(type) {
+	case JobSubmitted:
+		c.submit(ev.Waiter, ev.Job)
+	case WaiterGone:
+		c.dropWaiter(ev.Waiter)
+	case JobCancelled:
+		if j := c.jobs[ev.ID]; j != nil {
+			c.finish(j, JobWasCancelled, "cancelled by its caller")
+		}
+	case JobsEndedElsewhere:
+		for _, id := range ev.IDs {
+			c.remember(id)
+		}
+	case AgentConnected:
+		c.connect(ev)
+	case AgentDisconnected:
+		c.disconnect(ev.Session, "connection ended")
+	case AgentReported:
+		c.takeReport(ev.Session, ev.Report)
+	case StopRequested:
+		c.stopping = true
+	case Interrupted:
+		c.interrupt(ev.Cause)
+	case Tick:
+	}
+}
+
+// expire handles what only time brings about.
+func (c *Core) expire() {
+	c.checkAgents()
+	for _, j := range c.order {
+		if j.over {
+			continue
+		}
+		c.checkJob(j)
+	}
+	c.compact()
+	for len(c.endedOrder) > 0 && c.now-c.ended[c.endedOrder[0]] > endedMemory {
+		delete(c.ended, c.endedOrder[0])
+		c.endedOrder = c.endedOrder[1:]
+	}
+}
+
+// compact drops ended jobs from the order of submission.
+func (c *Core) compact() {
+	kept := c.order[:0]
+	for _, j := range c.order {
+		if !j.over {
+			kept = append(kept, j)
+		}
+	}
+	clear(c.order[len(kept):])
+	c.order = kept
+}
+
+func (c *Core) remember(id string) {
+	if _, known := c.ended[id]; known {
+		return
+	}
+	if len(c.endedOrder) >= endedLimit {
+		delete(c.ended, c.endedOrder[0])
+		c.endedOrder = c.endedOrder[1:]
+	}
+	c.ended[id] = c.now
+	c.endedOrder = append(c.endedOrder, id)
+}
+
+func (c *Core) do(a Action) { c.actions = append(c.actions, a) }
+
+// Waiting counts the jobs of a queue of which no task has started.
+func (c *Core) Waiting() map[string]int {
+	counts := map[string]int{}
+	for _, j := range c.order {
+		if !j.over && j.runs == 0 {
+			counts[j.Queue]++
+		}
+	}
+	return counts
+}
+
+// Busy is the number of jobs that have not been answered.
+func (c *Core) Busy() int { return len(c.jobs) }
+
+// Status tells whether a job is known and whether a task of it has started.
+func (c *Core) Status(id string) (known, started bool) {
+	j := c.jobs[id]
+	return j != nil, j != nil && j.runs > 0
+}
+
+// Completed reports whether a job is remembered as completed.
+func (c *Core) Completed(id string) bool {
+	_, done := c.ended[id]
+	return done
+}
+
+// Ready reports whether at least one endpoint takes tasks.
+func (c *Core) Ready() bool {
+	for _, a := range c.roll {
+		if a.isReady() {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pool/scheduler/job.go
@@ -0,0 +1,197 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"marjoramlug.example/marjoramlug/message"
+	"marjoramlug.example/marjoramlug/verdict"
+)
+
+// job is a job that has not been answered.
+type job struct {
+	*Job
+	queue    *queue
+	received time.Duration
+	waiters  []Waiter
+	tasks    []task
+	// waiting and done count tasks, runs counts starts.
+	waiting, done, runs int
+	failed, lost        int
+	firstStart          time.Duration
+	// over says that the job has been answered.
+	over bool
+	// late says that the objective can't be met any more.
+	late bool
+	// reviewAt is when a job without a start is looked at again.
+	reviewAt time.Duration
+}
+
+type taskState uint8
+
+const (
+	taskWaiting taskState = iota
+	taskRunning
+	taskDone
+)
+
+type task struct {
+	state    taskState
+	failures int
+	// next is added to Job.FirstRun for the number of the next run.
+	next int64
+	// avoid lists the agents where the task has failed.
+	avoid []*agent
+	run   *run
+	// notBefore spaces attempts after a refusal.
+	notBefore time.Duration
+}
+
+// estimate is the expected run time on an average endpoint.
+func (j *job) estimate() time.Duration {
+	return time.Duration(float64(j.Estimate) * j.queue.bias())
+}
+
+// objective is the time that the job should take.
+func (j *job) objective() time.Duration {
+	return time.Duration(j.Stretch*float64(j.estimate())) + j.Slack
+}
+
+// latestStart is when a task must start to meet the objective on an average
+// endpoint.
+func (j *job) latestStart() time.Duration {
+	return j.received + j.objective() - j.estimate() - overhead
+}
+
+func (c *Core) submit(w Waiter, in *Job) {
+	if _, done := c.ended[in.ID]; done {
+		c.do(Answer{Waiter: w, Answer: message.JobAnswer{Verdict: verdict.Ran}})
+		c.counters.Jobs[JobRepeated]++
+		c.do(JobEnded{Job: in, Outcome: JobRepeated, Cause: "completed before"})
+		return
+	}
+	if j := c.jobs[in.ID]; j != nil {
+		j.waiters = append(j.waiters, w)
+		c.waiters[w] = j
+		return
+	}
+	j := &job{Job: in, queue: c.queueOf(in.Queue), received: c.now, waiters: []Waiter{w}, waiting: in.Tasks}
+	j.tasks = make([]task, in.Tasks)
+	j.queue.arrived(c.now, j)
+	j.reviewAt = c.now + j.objective()/refusalShare
+	c.jobs[in.ID] = j
+	c.waiters[w] = j
+	c.waiting += in.Tasks
+	c.order = append(c.order, j)
+	switch {
+	case c.stopping:
+		c.finish(j, JobRefused, "this entry is stopping")
+	case c.waiting > c.opts.MaxWaiting:
+		c.finish(j, JobRefused, "too many tasks wait")
+	case !c.possible(j):
+		c.finish(j, JobRefused, "no endpoint can run it")
+	}
+}
+
+func (c *Core) dropWaiter(w Waiter) {
+	j := c.waiters[w]
+	if j == nil {
+		return
+	}
+	delete(c.waiters, w)
+	for i := range j.waiters {
+		if j.waiters[i] == w {
+			j.waiters = append(j.waiters[:i], j.waiters[i+1:]...)
+			break
+		}
+	}
+	if len(j.waiters) == 0 {
+		c.finish(j, JobAbandoned, "the caller's connection ended")
+	}
+}
+
+// finish answers a job and stops what still runs of it.
+func (c *Core) finish(j *job, outcome Outcome, cause string) {
+	if j.over {
+		return
+	}
+	j.over = true
+	delete(c.jobs, j.ID)
+	c.waiting -= j.waiting
+	for i := range j.tasks {
+		if r := j.tasks[i].run; r != nil {
+			c.lingering[j.ID]++
+			c.stop(r)
+		}
+	}
+	answer := c.answerTo(j, outcome, cause)
+	for _, w := range j.waiters {
+		delete(c.waiters, w)
+		c.do(Answer{Waiter: w, Answer: answer})
+	}
+	c.counters.Jobs[outcome]++
+	ended := JobEnded{
+		Job: j.Job, Outcome: outcome, Cause: cause, Age: c.now - j.received, Objective: j.objective(),
+		Runs: j.runs, Failed: j.failed, Lost: j.lost, Waiting: c.waiting,
+	}
+	if j.runs > 0 {
+		ended.Waited = j.firstStart - j.received
+	}
+	if outcome == JobCompleted {
+		c.remember(j.ID)
+		if ended.Age > ended.Objective {
+			c.counters.Late++
+		}
+	}
+	c.do(ended)
+}
+
+func (c *Core) answerTo(j *job, outcome Outcome, cause string) message.JobAnswer {
+	answer := message.JobAnswer{Failed: true, Detail: cause, Verdict: verdict.MayHaveRun}
+	if j.runs == 0 {
+		answer.Verdict = verdict.NotRun
+	}
+	switch outcome {
+	case JobCompleted, JobRepeated:
+		return message.JobAnswer{Verdict: verdict.Ran}
+	case JobFailed:
+		answer.Verdict, answer.Reason = verdict.Ran, verdict.ReasonTaskFailed
+	case JobRefused:
+		answer.Reason = verdict.ReasonQueueFull
+		answer.RetryAfterMillis = c.retryAfter().Milliseconds()
+	case JobExpired:
+		answer.Reason = verdict.ReasonDeadline
+	case JobWasCancelled, JobAbandoned:
+		answer.Reason = verdict.ReasonCancelled
+	case JobInterrupted:
+		answer.Reason = verdict.ReasonUnavailable
+	}
+	return answer
+}
+
+// checkJob refuses or expires a job whose time has come.
+func (c *Core) checkJob(j *job) {
+	if c.now >= j.Deadline {
+		if j.runs == 0 {
+			c.finish(j, JobRefused, "no room before the deadline")
+			return
+		}
+		c.finish(j, JobExpired, fmt.Sprintf("%d of %d tasks done at the deadline", j.done, len(j.tasks)))
+		return
+	}
+	if !j.late && j.waiting > 0 && c.now > j.latestStart() {
+		j.late = true
+		j.reviewAt = c.now
+	}
+	if j.runs == 0 && c.now >= j.reviewAt {
+		c.review(j)
+	}
+	c.rescue(j)
+}
+
+// interrupt gives up all jobs.
+func (c *Core) interrupt(cause string) {
+	for _, j := range c.order {
+		c.finish(j, JobInterrupted, cause)
+	}
+}
--- /dev/null
+++ b/pool/scheduler/place.go
@@ -0,0 +1,250 @@
+package scheduler
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"marjoramlug.example/marjoramlug/message"
+)
+
+const (
+	// overhead is the way from this entry to an endpoint and back to the caller
+	// that counts against the objective: measured 8 ms on the users' platform.
+	overhead = 8 * time.Millisecond
+	// fitMargin is the share of the time left that a placement may use: run times
+	// of like tasks differ by about 15 %.
+	fitMargin = 0.9
+	// backfillTime is how long smaller tasks may pass one that fits nowhere: ten
+	// ends of tasks at usual load.
+	backfillTime = 20 * time.Millisecond
+	// demandPause spaces messages that only tell of demand.
+	demandPause = 5 * time.Millisecond
+	// rateTime is the time over which the rate of starts is averaged.
+	rateTime = time.Second
+)
+
+// band orders jobs before all else: urgent ones, those that can still meet
+// their objective, and the rest.
+func (j *job) band() int {
+	switch {
+	case j.late:
+		return 2
+	case j.Urgent:
+		return 0
+	default:
+		return 1
+	}
+}
+
+// rank orders bands and, within one, queues by their offered load: when room
+// is short, the queue that asks for least is served whole before a larger one
+// gets more (max-min fairness between queues).
+func (c *Core) rank(j *job) float64 {
+	const bandWidth = 1e9
+	return float64(j.band())*bandWidth + math.Round(j.queue.offered(c.now)/1000)
+}
+
+// candidates returns the jobs that wait for starts, in the order of their turn.
+func (c *Core) candidates() []*job {
+	var list []*job
+	ranks := map[*job]float64{}
+	for _, j := range c.order {
+		if !j.over && j.waiting > 0 && c.lingering[j.ID] == 0 {
+			list = append(list, j)
+			ranks[j] = c.rank(j)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(ranks[a], ranks[b]), cmp.Compare(a.received, b.received))
+	})
+	return list
+}
+
+// place starts what fits.
+func (c *Core) place() {
+	c.demand, c.demandService = message.RunDemand{}, ""
+	if c.waiting == 0 {
+		return
+	}
+	var blocked *job
+	for _, j := range c.candidates() {
+		if blocked != nil && blocked.Service == j.Service &&
+			(c.now-blocked.received > backfillTime || !smaller(j.Need, blocked.Need)) {
+			continue
+		}
+		if c.placeJob(j) {
+			continue
+		}
+		if blocked == nil {
+			blocked = j
+			c.demand = message.RunDemand{Count: int64(j.waiting), Rank: c.rank(j), Need: j.Need}
+			c.demandService = j.Service
+		}
+	}
+}
+
+func smaller(a, b message.Resources) bool { return a.MilliCPU < b.MilliCPU }
+
+// demandFor is what an agent is told of what waits.
+func (c *Core) demandFor(a *agent) message.RunDemand {
+	if a.endpoint == nil || a.endpoint.Service != c.demandService {
+		return message.RunDemand{}
+	}
+	return c.demand
+}
+
+// placeJob starts the job's waiting tasks and reports whether none is left that
+// could have started.
+func (c *Core) placeJob(j *job) bool {
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.state != taskWaiting || c.now < t.notBefore {
+			continue
+		}
+		a := c.pick(j, t)
+		if a == nil {
+			return false
+		}
+		c.start(j, i, a)
+	}
+	return true
+}
+
+// pick chooses the slowest endpoint that still meets the objective, so that
+// fast ones stay free for tasks that need them; if none does, the fastest.
+func (c *Core) pick(j *job, t *task) *agent {
+	if a := c.pickAmong(j, t, false); a != nil {
+		return a
+	}
+	if c.anyEligible(j) {
+		return nil
+	}
+	return c.pickAmong(j, t, true)
+}
+
+func (c *Core) pickAmong(j *job, t *task, paused bool) *agent {
+	left := float64(j.received+j.objective()-overhead-c.now) * fitMargin
+	estimate := float64(j.estimate())
+	var best *agent
+	bestMeets, bestSpeed := false, 0.0
+	for _, a := range c.roll {
+		if !c.eligible(a, j, paused) || slices.Contains(t.avoid, a) || !j.Need.Fits(a.room()) || c.crowded(j, a) {
+			continue
+		}
+		took := estimate * a.slowness() * max(1, a.suspicion)
+		meets := took <= left
+		better := best == nil || meets && !bestMeets
+		if !better && meets == bestMeets {
+			better = took < bestSpeed
+			if meets {
+				better = took > bestSpeed
+			}
+			if similar(took, bestSpeed) {
+				better = a.room().MilliCPU > best.room().MilliCPU
+			}
+		}
+		if better {
+			best, bestMeets, bestSpeed = a, meets, took
+		}
+	}
+	return best
+}
+
+// similar reports whether two run times differ by less than what is known of
+// them.
+func similar(a, b float64) bool {
+	const share = 0.1
+	return math.Abs(a-b) <= share*max(a, b)
+}
+
+// eligible reports whether an agent may get tasks of a job, room aside.
+func (c *Core) eligible(a *agent, j *job, paused bool) bool {
+	if !a.isReady() || a.endpoint.Service != j.Service {
+		return false
+	}
+	if j.Label != "" && !slices.Contains(a.endpoint.Labels, j.Label) {
+		return false
+	}
+	if paused || a.failures < failuresToPause {
+		return true
+	}
+	// After its pause an agent has to complete one task before it gets more.
+	return c.now >= a.paused && len(a.runs) == 0
+}
+
+// anyEligible reports whether an agent could take the job when it has room.
+func (c *Core) anyEligible(j *job) bool {
+	return slices.ContainsFunc(c.roll, func(a *agent) bool {
+		return a.failures < failuresToPause && c.eligible(a, j, false)
+	})
+}
+
+// crowded reports whether the agent runs as many tasks of the job as it may.
+func (c *Core) crowded(j *job, a *agent) bool {
+	if j.Spread <= 0 {
+		return false
+	}
+	n := 0
+	for i := range j.tasks {
+		if r := j.tasks[i].run; r != nil && r.agent == a {
+			n++
+		}
+	}
+	return n >= j.Spread
+}
+
+// possible reports whether some endpoint could run the job when it is empty.
+func (c *Core) possible(j *job) bool {
+	known := false
+	for _, a := range c.roll {
+		if a.endpoint == nil || a.endpoint.Service != j.Service {
+			continue
+		}
+		known = true
+		if j.Need.Fits(a.endpoint.Capacity) && (j.Label == "" || slices.Contains(a.endpoint.Labels, j.Label)) {
+			return true
+		}
+	}
+	return !known
+}
+
+func (c *Core) start(j *job, i int, a *agent) {
+	t := &j.tasks[i]
+	ref := message.RunRef{Job: j.ID, Task: i, Number: j.FirstRun + t.next}
+	t.next++
+	r := &run{
+		ref: ref, job: j, task: i, agent: a, incarnation: a.incarnation, started: c.now,
+		expected: time.Duration(float64(j.estimate()) * a.slowness()),
+	}
+	t.state, t.run = taskRunning, r
+	a.runs[ref] = r
+	order := a.starts[j.ID]
+	if order == nil {
+		order = &message.RunStart{Job: j.ID, Payload: j.Payload, Need: j.Need}
+		a.starts[j.ID] = order
+		a.startOrder = append(a.startOrder, j.ID)
+	}
+	order.Runs = append(order.Runs, message.TaskRun{Task: i, Number: ref.Number})
+	a.pendingNeed = a.pendingNeed.Plus(j.Need)
+	if j.runs == 0 {
+		j.firstStart = c.now
+	}
+	j.runs++
+	j.waiting--
+	c.waiting--
+	c.counters.Runs++
+	c.countWork(j)
+}
+
+// countWork adds a started task to the rate of starts.
+func (c *Core) countWork(j *job) {
+	work := float64(j.Need.MilliCPU) * j.estimate().Seconds()
+	c.rate = c.startRate() + work/rateTime.Seconds()
+	c.rateAt = c.now
+}
+
+func (c *Core) startRate() float64 {
+	return c.rate * math.Exp(-(c.now-c.rateAt).Seconds()/rateTime.Seconds())
+}
--- /dev/null
+++ b/pool/scheduler/queue.go
@@ -0,0 +1,50 @@
+package scheduler
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// biasWeight is the weight of one task in what is learned of a queue's
+	// estimates: about the last fifty tasks count.
+	biasWeight = 0.02
+	// loadTime is the time over which a queue's offered load is averaged: long
+	// against a job, short against a burst of some seconds.
+	loadTime = 3 * time.Second
+)
+
+// queue is what is learned of one queue.
+type queue struct {
+	name string
+	// logBias is the mean logarithm of run time over estimate.
+	logBias float64
+	// load is the offered load in thousandths of a core, decaying since loadAt.
+	load   float64
+	loadAt time.Duration
+}
+
+func (c *Core) queueOf(name string) *queue {
+	q := c.queues[name]
+	if q == nil {
+		q = &queue{name: name, loadAt: c.now}
+		c.queues[name] = q
+	}
+	return q
+}
+
+func (q *queue) bias() float64 { return math.Exp(q.logBias) }
+
+func (q *queue) learn(ratio float64) { q.logBias += biasWeight * (math.Log(ratio) - q.logBias) }
+
+// arrived adds a job to the queue's offered load.
+func (q *queue) arrived(now time.Duration, j *job) {
+	work := float64(j.Need.MilliCPU) * float64(len(j.tasks)) * j.estimate().Seconds()
+	q.load = q.offered(now) + work/loadTime.Seconds()
+	q.loadAt = now
+}
+
+// offered is the queue's offered load, an exponential mean.
+func (q *queue) offered(now time.Duration) float64 {
+	return q.load * math.Exp(-(now-q.loadAt).Seconds()/loadTime.Seconds())
+}
--- /dev/null
+++ b/pool/scheduler/run.go
@@ -0,0 +1,157 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"marjoramlug.example/marjoramlug/message"
+)
+
+const (
+	// refusedPause is the pause before a task that an agent has refused is
+	// offered again, unless the agent's report has told of room: some ways there
+	// and back.
+	refusedPause = 5 * time.Millisecond
+	// numberJump is added to the number of a run that an endpoint took for an
+	// outdated one: more than any entry uses for one task.
+	numberJump = 1 << 20
+	// rescueFactor and rescueSlack set the time after which a run counts as stuck:
+	// beyond what estimates are off by.
+	rescueFactor = 4
+	rescueSlack  = 150 * time.Millisecond
+)
+
+// stop ends a run; its room and its task are free when the agent reports the
+// end.
+func (c *Core) stop(r *run) {
+	if r.stopped {
+		return
+	}
+	if c.withdraw(r) {
+		return
+	}
+	r.stopped = true
+	if r.agent.session != 0 {
+		r.agent.stops = append(r.agent.stops, r.ref)
+	}
+}
+
+// withdraw takes back a start that has not been sent.
+func (c *Core) withdraw(r *run) bool {
+	order := r.agent.starts[r.ref.Job]
+	if order == nil {
+		return false
+	}
+	at := slices.Index(order.Runs, message.TaskRun{Task: r.ref.Task, Number: r.ref.Number})
+	if at < 0 {
+		return false
+	}
+	order.Runs = slices.Delete(order.Runs, at, at+1)
+	if len(order.Runs) == 0 {
+		delete(r.agent.starts, r.ref.Job)
+		r.agent.startOrder = slices.DeleteFunc(r.agent.startOrder, func(id string) bool { return id == r.ref.Job })
+	}
+	r.agent.pendingNeed = r.agent.pendingNeed.Minus(order.Need)
+	c.endRun(r, message.RunEnd{Run: r.ref, Outcome: message.RunRefused, Cause: message.CauseStale})
+	return true
+}
+
+// endRun takes note of the end of a run.
+func (c *Core) endRun(r *run, end message.RunEnd) {
+	delete(r.agent.runs, r.ref)
+	c.counters.Ended[end.Outcome]++
+	if end.Outcome == message.RunRefused {
+		c.counters.Refused[end.Cause]++
+	}
+	j := r.job
+	if j.over {
+		c.lingering[j.ID]--
+		if c.lingering[j.ID] <= 0 {
+			delete(c.lingering, j.ID)
+		}
+		return
+	}
+	t := &j.tasks[r.task]
+	t.run = nil
+	switch end.Outcome {
+	case message.RunDone:
+		c.taskDone(j, t, r, end)
+		return
+	case message.RunFailed:
+		if c.taskFailed(j, t, r) {
+			return
+		}
+	case message.RunStopped:
+		if r.rescued {
+			t.avoid = append(t.avoid, r.agent)
+		}
+	case message.RunLost:
+		j.lost++
+	case message.RunRefused:
+		j.runs--
+		c.refused(t, r, end.Cause)
+	}
+	t.state = taskWaiting
+	j.waiting++
+	c.waiting++
+}
+
+func (c *Core) taskDone(j *job, t *task, r *run, end message.RunEnd) {
+	t.state = taskDone
+	j.done++
+	r.agent.succeeded()
+	c.learnSpeed(r, time.Duration(end.Millis)*time.Millisecond)
+	if j.done == len(j.tasks) {
+		c.finish(j, JobCompleted, "")
+	}
+}
+
+// taskFailed reports whether the job has failed with the task.
+func (c *Core) taskFailed(j *job, t *task, r *run) bool {
+	j.failed++
+	t.failures++
+	t.avoid = append(t.avoid, r.agent)
+	if len(t.avoid) >= len(c.roll) {
+		t.avoid = nil
+	}
+	c.failedAt(r.agent, j.ID)
+	if t.failures < j.Attempts {
+		return false
+	}
+	// The task has no run any more, but it does not wait either.
+	t.state = taskDone
+	c.finish(j, JobFailed, "a task has failed as often as it may")
+	return true
+}
+
+func (c *Core) refused(t *task, r *run, cause message.RunCause) {
+	switch cause {
+	case message.CauseNumber:
+		t.next += numberJump
+	case message.CauseOverloaded, message.CauseInvalid:
+		t.avoid = append(t.avoid, r.agent)
+		c.failedAt(r.agent, r.job.ID)
+		if len(t.avoid) >= len(c.roll) {
+			t.avoid = nil
+			t.notBefore = c.now + refusedPause
+		}
+	case message.CauseUnreachable, message.CauseLeaving:
+		t.notBefore = c.now + refusedPause
+	}
+}
+
+// rescue stops runs that make no progress, so that they can run elsewhere.
+func (c *Core) rescue(j *job) {
+	for i := range j.tasks {
+		r := j.tasks[i].run
+		if r == nil || r.stopped || r.deadBy > 0 || r.expected == 0 {
+			continue
+		}
+		if c.now-r.started > rescueFactor*r.expected+rescueSlack {
+			r.rescued = true
+			c.counters.Rescued++
+			c.failedAt(r.agent, j.ID)
+			c.stop(r)
+		}
+	}
+}
--- /dev/null
+++ b/pool/worker/core.go
@@ -0,0 +1,187 @@
+// Package worker decides for one endpoint whose tasks run under leases: which
+// orders of entries are carried out, which room each entry may use, when a
+// lease is renewed and when a run has ended for sure. It reads no clock, opens
+// no socket and starts no goroutine: Step takes the time and an event and
+// returns actions.
+package worker
+
+import (
+	"time"
+
+	"marjoramlug.example/marjoramlug/message"
+)
+
+// Options are the times that the core needs.
+type Options struct {
+	// Lease is how long a run lives at most without a renewal.
+	Lease time.Duration
+	// Silence is how long an entry may say nothing before its runs are stopped.
+	Silence time.Duration
+	// Random draws a number in [0, n); tests fix it.
+	Random func(n int) int
+}
+
+const (
+	// Heartbeat is the longest pause between two reports to an entry. A fifth of
+	// the silence that ends a session, so that a lost packet and its repetition
+	// fit in between.
+	Heartbeat = 100 * time.Millisecond
+	// reportPause spaces reports that only tell of changed room: ten times the way
+	// between two availability zones and back.
+	reportPause = 10 * time.Millisecond
+	// stampWindow is how old the report may be on which an order was decided. It
+	// equals the silence after which the entry counts as lost, so that no order of
+	// a lost entry is accepted later.
+	stampWindow = 400 * time.Millisecond
+	// offerTime is how long freed room is kept for the entry that it was offered
+	// to: several times the way there and back.
+	offerTime = 8 * time.Millisecond
+	// leaseMargin covers what an endpoint's clock may run slow (2 %) and the time
+	// that an endpoint takes to kill what has lapsed.
+	leaseMargin = 100 * time.Millisecond
+	// clockRate is the least rate of an endpoint's clock: 2 % slow.
+	clockRate = 0.98
+	// holdWait is how long an endpoint may wait for an end before it answers a
+	// look. A quarter of the longest lease, so that three renewals may be lost.
+	holdWait = 250 * time.Millisecond
+	// unreachableAfter is the time without an answer after which an endpoint gets
+	// no new tasks: one look and its timeout.
+	unreachableAfter = 600 * time.Millisecond
+	// endMemory is how long an ended run is known, so that a look that was
+	// overtaken does not take it for a stranger. Looks time out long before.
+	endMemory = 10 * time.Second
+	// stopRepeat is the pause after which an unanswered stop is sent again.
+	stopRepeat = 150 * time.Millisecond
+	// startAttempts bounds how often a start is sent under a raised fence.
+	startAttempts = 3
+)
+
+// Core decides for one endpoint. It is not safe for concurrent use.
+//
+// Invariants:
+//   - The needs of all runs that may be alive at the endpoint fit its capacity
+//     together; a run counts from before its start is sent until its end is known.
+//   - A run is reported refused only when the endpoint can't start it any more.
+//   - The runs of an entry that is silent for Options.Silence are stopped, and no
+//     order that it decided before is accepted.
+//   - Each end is reported until the entry has acknowledged it.
+type Core struct {
+	opts    Options
+	now     time.Duration
+	actions []Action
+
+	endpoint endpoint
+	runs     map[message.RunRef]*run
+	// ended remembers runs that have ended, and when, in that order.
+	ended      map[message.RunRef]time.Duration
+	endedOrder []message.RunRef
+	used       message.Resources
+
+	owners   map[ownerKey]*owner
+	sessions map[Session]*owner
+	calls    uint64
+	stopping bool
+	drained  bool
+	// wasReady is what entries were last told.
+	wasReady bool
+	counters Counters
+}
+
+// Counters counts decisions since the start.
+type Counters struct {
+	Accepted int64
+	Refused  [message.CauseInvalid + 1]int64
+	Ended    [message.RunRefused + 1]int64
+	// Orphaned counts runs that were stopped because their entry was silent.
+	Orphaned int64
+	// Foreign counts runs that were found at the endpoint and stopped.
+	Foreign int64
+	// Resyncs counts looks under a raised fence.
+	Resyncs int64
+	Offers  int64
+}
+
+// New returns a core without endpoint and sessions.
+func New(opts Options) *Core {
+	if opts.Random == nil {
+		opts.Random = func(int) int { return 0 }
+	}
+	return &Core{
+		opts:     opts,
+		runs:     map[message.RunRef]*run{},
+		ended:    map[message.RunRef]time.Duration{},
+		owners:   map[ownerKey]*owner{},
+		sessions: map[Session]*owner{},
+	}
+}
+
+// Counters returns the decisions counted so far.
+func (c *Core) Counters() Counters { return c.counters }
+
+// Runs is the number of runs that may be alive.
+func (c *Core) Runs() int { return len(c.runs) }
+
+// Step advances the core to the given time since boot, applies an event and
+// returns what is to be done, in order. The time includes what the machine
+// spent suspended.
+func (c *Core) Step(now time.Duration, ev Event) []Action {
+	c.now = max(c.now, now)
+	c.actions = nil
+	// Silent entries go first: after a pause of this process nothing may renew
+	// the leases of their runs.
+	c.dropSilentOwners()
+	c.lapse()
+	c.handle(ev)
+	c.repeatStops()
+	c.look()
+	c.noticeReadiness()
+	c.offerRoom()
+	c.report()
+	c.finish()
+	return c.actions
+}
+
+func (c *Core) handle(ev Event) {
+	switch ev := ev.(type) {
+	case SessionOpened:
+		c.openSession(ev)
+	case SessionClosed:
+		c.closeSession(ev.Session)
+	case OrdersReceived:
+		c.takeOrders(ev.Session, ev.Orders)
+	case EndpointSeen:
+		c.seeEndpoint(ev)
+	case EndpointLeft:
+		c.leaveEndpoint(ev.Name)
+	case StartAnswered:
+		c.startAnswered(ev)
+	case StopAnswered:
+		c.stopAnswered(ev)
+	case LookAnswered:
+		c.lookAnswered(ev)
+	case StopRequested:
+		c.stopping = true
+	case Tick:
+	}
+}
+
+// finish reports once that nothing is left after StopRequested.
+func (c *Core) finish() {
+	if !c.stopping || c.drained || len(c.runs) > 0 || c.endpoint.owesLook() {
+		return
+	}
+	for _, o := range c.owners {
+		if len(o.ends) > 0 && o.session != 0 {
+			return
+		}
+	}
+	c.drained = true
+	c.do(Drained{})
+}
+
+func (c *Core) do(a Action) { c.actions = append(c.actions, a) }
+
+func (c *Core) nextCall() CallID {
+	c.calls++
+	return CallID(c.calls)
+}
--- /dev/null
+++ b/pool/worker/endpoint.go
@@ -0,0 +1,229 @@
+package worker
+
+import (
+	"time"
+
+	"marjoramlug.example/marjoramlug/message"
+)
+
+// endpoint is what is known of the endpoint.
+type endpoint struct {
+	name     string
+	born     int64
+	seq      int64
+	service  string
+	capacity message.Resources
+	labels   []string
+	leaving  bool
+	present  bool
+	// version rises with each change that entries are told of, life with each new
+	// endpoint or takeover.
+	version uint64
+	life    uint64
+
+	// fence is the fence of all calls. It only rises within a life of the
+	// endpoint: it follows the endpoint's own clock, which outlives this process.
+	fence int64
+	// clock is the endpoint's clock as read at clockAt or shortly before.
+	clock   int64
+	clockAt time.Duration
+	// until is the latest end of a lease that was asked for, by that clock.
+	until int64
+	// answered is when the endpoint last answered, or was first seen.
+	answered time.Duration
+
+	// seen is the highest number of an end taken note of, told the highest one
+	// that a look has acknowledged.
+	seen, told int64
+	// looking is the look in flight that may wait, resync the one that may not.
+	looking, resync CallID
+	// lookingSeen and resyncSeen are the numbers that these looks acknowledge.
+	lookingSeen, resyncSeen int64
+	// wantResync asks for a look under the present fence, at once.
+	wantResync bool
+	lookFailed time.Duration
+	failures   int
+	// settled says that a look of this process has shown that only its own runs
+	// are alive.
+	settled bool
+	// strange says that another life answered at the endpoint's address.
+	strange bool
+	foreign map[message.RunRef]time.Duration
+}
+
+// ready reports whether the endpoint takes new tasks.
+func (c *Core) ready() bool {
+	e := &c.endpoint
+	return e.present && e.settled && !e.leaving && !e.strange && !c.stopping && c.now-e.answered < unreachableAfter
+}
+
+func (c *Core) describe() *message.PoolEndpoint {
+	e := &c.endpoint
+	return &message.PoolEndpoint{
+		Name: e.name, Life: e.life, Service: e.service, Capacity: e.capacity, Labels: e.labels, Ready: c.ready(),
+	}
+}
+
+func (c *Core) endpointChanged() { c.endpoint.version++ }
+
+// noticeReadiness tells entries when the endpoint has begun or ceased to take
+// tasks, also by the time that has passed.
+func (c *Core) noticeReadiness() {
+	if ready := c.ready(); ready != c.wasReady {
+		c.wasReady = ready
+		c.endpointChanged()
+		what := "endpoint takes no tasks"
+		if ready {
+			what = "endpoint takes tasks"
+		}
+		c.do(Note{What: what, Subject: c.endpoint.name, Detail: c.endpoint.service})
+	}
+}
+
+func (c *Core) seeEndpoint(ev EndpointSeen) {
+	e := &c.endpoint
+	switch {
+	case ev.Born < e.born, e.name == ev.Name && e.born == ev.Born && ev.Seq <= e.seq:
+		return
+	case !e.present || e.name != ev.Name || ev.Born > e.born:
+		c.adopt(ev)
+	}
+	e.seq = ev.Seq
+	if !sameEndpoint(e, ev) {
+		e.service, e.capacity, e.labels, e.leaving = ev.Service, ev.Capacity, ev.Labels, ev.Leaving
+		c.endpointChanged()
+		c.do(Note{What: "endpoint changed", Subject: e.name, Detail: ev.Service})
+	}
+}
+
+func sameEndpoint(e *endpoint, ev EndpointSeen) bool {
+	if e.service != ev.Service || e.capacity != ev.Capacity || e.leaving != ev.Leaving || len(e.labels) != len(ev.Labels) {
+		return false
+	}
+	for i := range e.labels {
+		if e.labels[i] != ev.Labels[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// adopt begins with a life of an endpoint that this process does not know. Of
+// an earlier life nothing runs any more.
+func (c *Core) adopt(ev EndpointSeen) {
+	c.loseAll()
+	old := c.endpoint
+	c.endpoint = endpoint{
+		name: ev.Name, born: ev.Born, present: true,
+		version: old.version + 1, life: old.life + 1,
+		clock: ev.ClockMillis, clockAt: c.now, answered: c.now,
+		fence: ev.ClockMillis, wantResync: true,
+		foreign: map[message.RunRef]time.Duration{},
+	}
+	c.do(Note{What: "endpoint adopted", Subject: ev.Name, Detail: ev.Service})
+}
+
+func (c *Core) leaveEndpoint(name string) {
+	if !c.endpoint.present || c.endpoint.name != name {
+		return
+	}
+	c.gone("endpoint left")
+}
+
+// crash is called when nobody listens at the endpoint's address: its process
+// has ended, and all that it ran.
+func (c *Core) crash() {
+	if c.endpoint.present {
+		c.gone("endpoint unreachable")
+	}
+}
+
+func (c *Core) gone(what string) {
+	c.do(Note{What: what, Subject: c.endpoint.name})
+	c.loseAll()
+	e := &c.endpoint
+	// Name, birth and number stay, so that a delayed announcement of this life does
+	// not bring it back.
+	e.settled, e.present = false, false
+	e.looking, e.resync, e.wantResync = 0, 0, false
+	c.endpointChanged()
+}
+
+// loseAll ends the runs of a life of the endpoint that is over. Starts that are
+// on their way stay: what they meet is told by their answers.
+func (c *Core) loseAll() {
+	for _, r := range c.runs {
+		if r.state != runStarting && r.state != runInNextLife {
+			c.end(r, message.RunLost)
+		}
+	}
+}
+
+// isReborn reports whether a clock reading can only come from a later life of
+// the endpoint.
+func (e *endpoint) isReborn(clock Clock) bool {
+	return clock.Known && clock.Millis < e.clock-rebornMillis
+}
+
+// rebornMillis is more than any answer is delayed, in milliseconds: a clock
+// that is further behind began anew.
+const rebornMillis = 1000
+
+// clockNow estimates the endpoint's clock.
+func (e *endpoint) clockNow(now time.Duration) int64 {
+	return e.clock + (now - e.clockAt).Milliseconds()
+}
+
+// heard takes note of an answer.
+func (e *endpoint) heard(now time.Duration, clock Clock) {
+	if !clock.Known {
+		return
+	}
+	e.answered = now
+	if clock.Millis > e.clock {
+		e.clock, e.clockAt = clock.Millis, now
+	}
+}
+
+// renew returns the end of a lease that begins now, and remembers it.
+func (e *endpoint) renew(now time.Duration, lease time.Duration) int64 {
+	until := e.clockNow(now) + lease.Milliseconds()
+	e.until = max(e.until, until)
+	return until
+}
+
+// lapsed reports whether every lease that was asked for has passed for sure.
+func (e *endpoint) lapsed(now time.Duration) bool {
+	left := float64(e.until-e.clock) / clockRate * float64(time.Millisecond)
+	return now-e.clockAt > time.Duration(left)+leaseMargin
+}
+
+// raiseFence makes the endpoint turn down all calls sent so far that have not
+// reached it.
+func (e *endpoint) raiseFence(now time.Duration) {
+	e.fence = max(e.fence+1, e.clockNow(now))
+	e.wantResync = true
+}
+
+func (e *endpoint) owesLook() bool { return e.present && e.seen > e.told }
+
+// lapse ends the runs whose leases have passed while the endpoint did not
+// answer. A start that was never answered stays: the endpoint might still
+// carry it out.
+func (c *Core) lapse() {
+	e := &c.endpoint
+	if !e.present || len(c.runs) == 0 || !e.lapsed(c.now) {
+		return
+	}
+	lost := 0
+	for _, r := range c.runs {
+		if r.state == runAlive {
+			c.end(r, message.RunLost)
+			lost++
+		}
+	}
+	if lost > 0 {
+		e.wantResync = true
+		c.do(Note{What: "leases lapsed", Subject: e.name})
+	}
+}
--- /dev/null
+++ b/pool/worker/owner.go
@@ -0,0 +1,181 @@
+package worker
+
+import (
+	"time"
+
+	"marjoramlug.example/marjoramlug/message"
+)
+
+// ownerKey is one life of an entry.
+type ownerKey struct {
+	entry       string
+	incarnation uint64
+}
+
+// owner is an entry whose runs are here. It outlives a lost connection for
+// Options.Silence.
+type owner struct {
+	key       ownerKey
+	session   Session
+	lastHeard time.Duration
+	// orders is the newest RunOrders.Seq of the session.
+	orders uint64
+	demand message.RunDemand
+
+	stamp    int64
+	lastSent time.Duration
+	synced   bool
+	// told is the endpoint's version that the entry was told.
+	told uint64
+	free message.Resources
+	// ends holds what the entry has not acknowledged; sent counts those that have
+	// been reported on this session.
+	ends []pendingEnd
+	sent int
+
+	offered      message.Resources
+	offeredUntil time.Duration
+	lastOffer    time.Duration
+}
+
+// pendingEnd is an end and the stamp of the report that first carried it on
+// the present session.
+type pendingEnd struct {
+	end   message.RunEnd
+	stamp int64
+}
+
+func (c *Core) openSession(ev SessionOpened) {
+	key := ownerKey{ev.Entry, ev.Incarnation}
+	for other, o := range c.owners {
+		if other.entry == ev.Entry && other.incarnation != ev.Incarnation {
+			c.dropOwner(o, "another life of the entry connected")
+		}
+	}
+	o := c.owners[key]
+	if o == nil {
+		o = &owner{key: key}
+		c.owners[key] = o
+	}
+	if o.session != 0 {
+		delete(c.sessions, o.session)
+		c.do(CloseSession{Session: o.session, Reason: "the entry connected again"})
+	}
+	o.session, o.lastHeard, o.orders, o.synced, o.sent, o.told = ev.Session, c.now, 0, false, 0, 0
+	o.demand, o.offered = message.RunDemand{}, message.Resources{}
+	c.sessions[ev.Session] = o
+}
+
+func (c *Core) closeSession(id Session) {
+	if o := c.sessions[id]; o != nil {
+		delete(c.sessions, id)
+		o.session = 0
+	}
+}
+
+// dropSilentOwners stops the runs of entries that have said nothing for too
+// long.
+func (c *Core) dropSilentOwners() {
+	for _, o := range c.owners {
+		if c.now-o.lastHeard >= c.opts.Silence {
+			c.dropOwner(o, "silent")
+		}
+	}
+}
+
+func (c *Core) dropOwner(o *owner, reason string) {
+	delete(c.owners, o.key)
+	if o.session != 0 {
+		delete(c.sessions, o.session)
+		c.do(CloseSession{Session: o.session, Reason: reason})
+	}
+	stopped := 0
+	for _, r := range c.runs {
+		if r.owner == o {
+			r.owner = nil
+			c.stop(r)
+			stopped++
+		}
+	}
+	c.counters.Orphaned += int64(stopped)
+	c.do(Note{What: "entry lost", Subject: o.key.entry, Detail: reason})
+}
+
+// takeOrders carries out a message of an entry.
+func (c *Core) takeOrders(id Session, orders *message.RunOrders) {
+	o := c.sessions[id]
+	if o == nil {
+		return
+	}
+	o.lastHeard = c.now
+	o.orders = orders.Seq
+	o.acknowledge(orders.Stamp)
+	if orders.Demand != nil {
+		o.demand = *orders.Demand
+	}
+	for _, ref := range orders.Stops {
+		if r := c.runs[ref]; r != nil && r.owner == o {
+			c.stop(r)
+		}
+	}
+	fresh := c.now-time.Duration(orders.Stamp)*time.Microsecond < stampWindow
+	for i := range orders.Starts {
+		c.takeStart(o, &orders.Starts[i], fresh)
+	}
+}
+
+// acknowledge forgets the ends that were reported up to a stamp.
+func (o *owner) acknowledge(stamp int64) {
+	n := 0
+	for n < o.sent && o.ends[n].stamp <= stamp {
+		n++
+	}
+	o.ends = o.ends[n:]
+	o.sent -= n
+}
+
+func (o *owner) addEnd(e message.RunEnd) { o.ends = append(o.ends, pendingEnd{end: e}) }
+
+// report sends what has changed, ends at once and the rest at intervals.
+func (c *Core) report() {
+	for _, o := range c.owners {
+		if o.session == 0 {
+			continue
+		}
+		free := c.roomFor(o)
+		pause := c.now - o.lastSent
+		useful := o.demand.Count > 0 && o.demand.Need.Fits(free)
+		switch {
+		case !o.synced, o.sent < len(o.ends), o.told != c.endpoint.version:
+		case free != o.free && (useful || pause >= reportPause):
+		case pause >= Heartbeat:
+		default:
+			continue
+		}
+		c.sendReport(o, free)
+	}
+}
+
+func (c *Core) sendReport(o *owner, free message.Resources) {
+	o.stamp = max(o.stamp+1, int64(c.now/time.Microsecond))
+	r := &message.RunReport{Stamp: o.stamp, Orders: o.orders, Free: free}
+	for i := o.sent; i < len(o.ends); i++ {
+		o.ends[i].stamp = o.stamp
+		r.Ends = append(r.Ends, o.ends[i].end)
+	}
+	o.sent = len(o.ends)
+	if !o.synced {
+		r.Sync, o.synced = true, true
+		for ref, run := range c.runs {
+			if run.owner == o {
+				r.Live = append(r.Live, ref)
+			}
+		}
+	}
+	if o.told != c.endpoint.version || r.Sync {
+		r.Endpoint = c.describe()
+		o.told = c.endpoint.version
+	}
+	o.free, o.lastSent = free, c.now
+	c.do(SendReport{Session: o.session, Report: r})
+}
--- /dev/null
+++ b/pool/worker/room.go
@@ -0,0 +1,83 @@
+package worker
+
+import (
+	"cmp"
+	"slices"
+
+	"marjoramlug.example/marjoramlug/message"
+)
+
+// Room that becomes free under contention is offered to one entry at a time,
+// the one with the lowest rank. Without this, all entries would race for it
+// and all but one would be refused.
+
+// unreserved is the room that is neither used nor offered to an entry other
+// than except.
+func (c *Core) unreserved(except *owner) message.Resources {
+	free := c.endpoint.capacity.Minus(c.used)
+	for _, o := range c.owners {
+		if o != except && o.hasOffer(c) {
+			free = free.Minus(o.offered)
+		}
+	}
+	return free
+}
+
+func (o *owner) hasOffer(c *Core) bool {
+	return o.session != 0 && !o.offered.IsZero() && c.now < o.offeredUntil
+}
+
+// roomFor is the room that an entry may use now.
+func (c *Core) roomFor(o *owner) message.Resources {
+	if !c.ready() {
+		return message.Resources{}
+	}
+	free := c.unreserved(o)
+	return message.Resources{
+		MilliCPU: max(free.MilliCPU, 0), MemoryMB: max(free.MemoryMB, 0), Accelerators: max(free.Accelerators, 0),
+	}
+}
+
+// spend takes a started task out of the entry's offer.
+func (o *owner) spend(need message.Resources) {
+	left := o.offered.Minus(need)
+	if left.MilliCPU <= 0 {
+		left = message.Resources{}
+	}
+	o.offered = left
+}
+
+// offerRoom reserves free room for entries that wait, lowest rank first; among
+// equals the one that has waited longest for an offer.
+func (c *Core) offerRoom() {
+	if !c.ready() {
+		return
+	}
+	var waiting []*owner
+	for _, o := range c.owners {
+		if !o.offered.IsZero() && c.now >= o.offeredUntil {
+			o.offered = message.Resources{}
+		}
+		if o.session != 0 && o.demand.Count > 0 && !o.hasOffer(c) {
+			waiting = append(waiting, o)
+		}
+	}
+	if len(waiting) == 0 || len(c.owners) < 2 {
+		return
+	}
+	slices.SortFunc(waiting, func(a, b *owner) int {
+		return cmp.Or(cmp.Compare(a.demand.Rank, b.demand.Rank), cmp.Compare(a.lastOffer, b.lastOffer),
+			cmp.Compare(a.key.entry, b.key.entry))
+	})
+	free := c.unreserved(nil)
+	for _, o := range waiting {
+		n := o.demand.Need.Copies(free, o.demand.Count)
+		if n == 0 {
+			continue
+		}
+		o.offered = o.demand.Need.Times(n)
+		o.offeredUntil, o.lastOffer = c.now+offerTime, c.now
+		free = free.Minus(o.offered)
+		c.counters.Offers++
+	}
+}
--- /dev/null
+++ b/pool/worker/run.go
@@ -0,0 +1,223 @@
+package worker
+
+import (
+	"time"
+
+	"marjoramlug.example/marjoramlug/message"
+)
+
+type runState uint8
+
+const (
+	// runStarting means that a start is on its way to the endpoint.
+	runStarting runState = iota
+	// runAlive means that the endpoint has taken the start.
+	runAlive
+	// runUnclear means that the start was not answered.
+	runUnclear
+	// runInNextLife means that a life of the endpoint has answered that has not
+	// announced itself yet.
+	runInNextLife
+)
+
+// run is a run that may be alive at the endpoint.
+type run struct {
+	ref     message.RunRef
+	owner   *owner
+	need    message.Resources
+	payload string
+	state   runState
+	ordered time.Duration
+	// attempts counts the starts sent.
+	attempts int
+	// conclusive is the first call whose list of runs includes this one if it is
+	// alive.
+	conclusive CallID
+	// stopWanted keeps a stop going until the end is listed; stopCall is the stop
+	// in flight and stopSent when the last one left.
+	stopWanted bool
+	stopCall   CallID
+	stopSent   time.Duration
+}
+
+// takeStart accepts or refuses the runs of one order.
+func (c *Core) takeStart(o *owner, order *message.RunStart, fresh bool) {
+	for _, t := range order.Runs {
+		ref := message.RunRef{Job: order.Job, Task: t.Task, Number: t.Number}
+		if c.runs[ref] != nil {
+			continue
+		}
+		if cause := c.refusal(o, order.Need, fresh); cause != message.CauseNone {
+			c.refuse(o, ref, cause)
+			continue
+		}
+		r := &run{ref: ref, owner: o, need: order.Need, payload: order.Payload, ordered: c.now}
+		c.runs[ref] = r
+		c.used = c.used.Plus(r.need)
+		o.spend(r.need)
+		c.counters.Accepted++
+		c.sendStart(r)
+	}
+}
+
+func (c *Core) refusal(o *owner, need message.Resources, fresh bool) message.RunCause {
+	switch {
+	case c.stopping, c.endpoint.leaving:
+		return message.CauseLeaving
+	case !c.ready():
+		return message.CauseUnreachable
+	case !fresh:
+		return message.CauseStale
+	case !need.Fits(c.unreserved(o)):
+		return message.CauseRoom
+	}
+	return message.CauseNone
+}
+
+func (c *Core) refuse(o *owner, ref message.RunRef, cause message.RunCause) {
+	c.counters.Refused[cause]++
+	if o != nil {
+		o.addEnd(message.RunEnd{Run: ref, Outcome: message.RunRefused, Cause: cause})
+	}
+}
+
+func (c *Core) sendStart(r *run) {
+	r.state = runStarting
+	r.attempts++
+	call := c.nextCall()
+	r.conclusive = 0
+	c.do(StartCall{
+		Call: call, Endpoint: c.endpoint.name, Run: r.ref, Payload: r.payload,
+		Fence: c.endpoint.fence, UntilMillis: c.endpoint.renew(c.now, c.opts.Lease),
+	})
+}
+
+func (c *Core) startAnswered(ev StartAnswered) {
+	reborn := c.endpoint.isReborn(ev.Clock)
+	if reborn {
+		c.gone("endpoint began a new life")
+	} else {
+		c.endpoint.heard(c.now, ev.Clock)
+	}
+	r := c.runs[ev.Run]
+	if r == nil || r.state != runStarting {
+		return
+	}
+	if reborn {
+		r.state = runInNextLife
+		r.conclusive = CallID(c.calls + 1)
+		return
+	}
+	switch ev.Result {
+	case StartTaken:
+		r.state = runAlive
+		r.conclusive = CallID(c.calls + 1)
+	case StartNoAnswer:
+		c.unclear(r)
+	case StartFenced, StartLate:
+		c.startAgain(r, ev.Result)
+	case StartElsewhere:
+		c.endpoint.strange = true
+		c.endRefused(r, message.CauseUnreachable)
+	case StartUnreachable:
+		c.endRefused(r, message.CauseUnreachable)
+		c.crash()
+	case StartOutdated:
+		c.endRefused(r, message.CauseNumber)
+	case StartNoRoom:
+		c.endRefused(r, message.CauseRoom)
+	case StartOverloaded:
+		c.endRefused(r, message.CauseOverloaded)
+	case StartInvalid:
+		c.endRefused(r, message.CauseInvalid)
+	}
+}
+
+// unclear raises the fence, so that the endpoint can't take the start any
+// more; the next look tells whether it had taken it.
+func (c *Core) unclear(r *run) {
+	if !c.endpoint.present {
+		c.end(r, message.RunLost)
+		return
+	}
+	r.state = runUnclear
+	c.endpoint.raiseFence(c.now)
+	r.conclusive = CallID(c.calls + 1)
+	c.do(Note{What: "start not answered", Run: r.ref, Subject: c.endpoint.name})
+}
+
+// startAgain repeats a start that the endpoint has turned down for a fence or
+// a lease of the past.
+func (c *Core) startAgain(r *run, result StartResult) {
+	if r.stopWanted || r.attempts >= startAttempts {
+		c.endRefused(r, message.CauseStale)
+		return
+	}
+	if result == StartFenced {
+		c.endpoint.raiseFence(c.now)
+	}
+	c.sendStart(r)
+}
+
+func (c *Core) endRefused(r *run, cause message.RunCause) {
+	c.forget(r)
+	c.refuse(r.owner, r.ref, cause)
+}
+
+// end records the end of a run and owes the entry a report.
+func (c *Core) end(r *run, outcome message.RunOutcome) {
+	c.forget(r)
+	c.counters.Ended[outcome]++
+	if r.owner != nil {
+		r.owner.addEnd(message.RunEnd{Run: r.ref, Outcome: outcome, Millis: (c.now - r.ordered).Milliseconds()})
+	}
+}
+
+func (c *Core) forget(r *run) {
+	delete(c.runs, r.ref)
+	c.used = c.used.Minus(r.need)
+	c.remember(r.ref)
+}
+
+func (c *Core) remember(ref message.RunRef) {
+	c.ended[ref] = c.now
+	c.endedOrder = append(c.endedOrder, ref)
+	for len(c.endedOrder) > 0 && c.now-c.ended[c.endedOrder[0]] > endMemory {
+		delete(c.ended, c.endedOrder[0])
+		c.endedOrder = c.endedOrder[1:]
+	}
+}
+
+// stop tells the endpoint to stop a run; the room stays taken until the end
+// is listed.
+func (c *Core) stop(r *run) {
+	if r.stopWanted {
+		return
+	}
+	r.stopWanted = true
+	c.sendStop(r)
+}
+
+func (c *Core) sendStop(r *run) {
+	r.stopCall = c.nextCall()
+	r.stopSent = c.now
+	c.do(StopCall{Call: r.stopCall, Endpoint: c.endpoint.name, Run: r.ref, Fence: c.endpoint.fence})
+}
+
+func (c *Core) stopAnswered(ev StopAnswered) {
+	c.endpoint.heard(c.now, ev.Clock)
+	if r := c.runs[ev.Run]; r != nil && r.stopCall == ev.Call {
+		r.stopCall = 0
+		if !ev.Taken {
+			c.endpoint.raiseFence(c.now)
+		}
+	}
+}
+
+func (c *Core) repeatStops() {
+	for _, r := range c.runs {
+		if r.stopWanted && r.stopCall == 0 && c.now-r.stopSent >= stopRepeat {
+			c.sendStop(r)
+		}
+	}
+}
--- a/settings/load.go
+++ b/settings/load.go
@@ -57,6 +57,12 @@
 	if f.Agent != nil {
 		f.Agent.ApplyDefaults()
 	}
+	if f.PoolEntry != nil {
+		f.PoolEntry.ApplyDefaults()
+	}
+	if f.PoolAgent != nil {
+		f.PoolAgent.ApplyDefaults()
+	}
 }
 
 // ApplyDefaults fills unset fields.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -8,6 +8,10 @@
 type File struct {
 	Entry *Entry `yaml:"entry,omitempty"`
 	Agent *Agent `yaml:"agent,omitempty"`
+	// PoolEntry and PoolAgent are the processes of a pool, whose endpoints declare
+	// what their tasks may take.
+	PoolEntry *PoolEntry `yaml:"pool_entry,omitempty"`
+	PoolAgent *PoolAgent `yaml:"pool_agent,omitempty"`
 	// Log is the least severe level that is logged.
 	Log LogLevel `yaml:"log_level,omitempty" validate:"omitempty,oneof=debug info warn error"`
 }
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -24,8 +24,14 @@
 // relations checks what concerns more than one field.
 func (f *File) relations() validation.Faults {
 	var faults validation.Faults
-	if f.Entry == nil && f.Agent == nil {
-		faults = append(faults, Fault{Path: "document", Value: "neither", Expected: "a section entry or agent"})
+	if f.Entry == nil && f.Agent == nil && f.PoolEntry == nil && f.PoolAgent == nil {
+		faults = append(faults, Fault{Path: "document", Value: "none", Expected: "a section entry, agent, pool_entry or pool_agent"})
+	}
+	if f.PoolEntry != nil {
+		faults = append(faults, f.PoolEntry.Timing.relations("pool_entry.timing")...)
+	}
+	if f.PoolAgent != nil {
+		faults = append(faults, f.PoolAgent.Timing.relations("pool_agent.timing")...)
 	}
 	if f.Entry != nil {
 		o := f.Entry.Ownership
@@ -40,6 +46,12 @@
 	return faults
 }
 
+// relations checks that the runs of a lost entry have ended before its callers
+// submit again.
+func (t Timing) relations(path string) validation.Faults {
+	return below(path+".silence", t.Silence+t.StopTime, "retransmit", t.Retransmit)
+}
+
 // below checks that a duration is less than another one.
 func below(path string, d time.Duration, otherName string, other time.Duration) validation.Faults {
 	if d < other {
--- a/transport/role.go
+++ b/transport/role.go
@@ -22,6 +22,7 @@
 	message.KindResult:       true,
 	message.KindJournal:      true,
 	message.KindInquiryReply: true,
+	message.KindRunReport:    true,
 }
 
 // mayRoleSend tells whether a process of a role may send messages of a kind.
