--- a/config/encode.go
+++ b/config/encode.go
@@ -13,7 +13,7 @@
 // encodedState is a State in the form that snapshots carry. Lists are ordered,
 // so that equal states encode to equal bytes.
 type encodedState struct {
-	Applied  sharedlog.Offset  `cbor:"1,keyasint"`
+	Applied  sharedlog.Offset `cbor:"1,keyasint"`
 	Services []encodedService `cbor:"2,keyasint,omitempty"`
 	Outcomes []encodedOutcome `cbor:"3,keyasint,omitempty"`
 }
--- a/config/fuzz_test.go
+++ b/config/fuzz_test.go
@@ -9,8 +9,8 @@
 	"pgregory.net/rapid"
 
 	"marjoramlug.example/marjoramlug/config"
-	"marjoramlug.example/marjoramlug/sharedlog"
 	"marjoramlug.example/marjoramlug/plugin/log/memory"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 // foreignSchema is a version that no reader of the test understands.
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -30,8 +30,8 @@
 // encodedSnapshot is a Snapshot as it stands in the log.
 type encodedSnapshot struct {
 	Covered   sharedlog.Offset `cbor:"1,keyasint"`
-	Config    []byte          `cbor:"2,keyasint,omitempty"`
-	Ownership []byte          `cbor:"3,keyasint,omitempty"`
+	Config    []byte           `cbor:"2,keyasint,omitempty"`
+	Ownership []byte           `cbor:"3,keyasint,omitempty"`
 }
 
 // MarshalCBOR implements cbor.Marshaler.
--- a/entry/observer.go
+++ b/entry/observer.go
@@ -7,8 +7,8 @@
 	"marjoramlug.example/marjoramlug/dispatch"
 	"marjoramlug.example/marjoramlug/message"
 	"marjoramlug.example/marjoramlug/ownership"
-	"marjoramlug.example/marjoramlug/sharedlog"
 	"marjoramlug.example/marjoramlug/replica"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 // observer turns what the log decides into events of the cores.
--- a/load/slopes/logrole.go
+++ b/load/slopes/logrole.go
@@ -7,9 +7,9 @@
 
 	"marjoramlug.example/marjoramlug/entry"
 	"marjoramlug.example/marjoramlug/message"
-	"marjoramlug.example/marjoramlug/sharedlog"
 	"marjoramlug.example/marjoramlug/plugin/log/memory"
 	"marjoramlug.example/marjoramlug/settings"
+	"marjoramlug.example/marjoramlug/sharedlog"
 	"marjoramlug.example/marjoramlug/transport"
 )
 
--- a/load/slopes/parts.go
+++ b/load/slopes/parts.go
@@ -8,9 +8,9 @@
 
 	"marjoramlug.example/marjoramlug/config"
 	"marjoramlug.example/marjoramlug/entry"
-	"marjoramlug.example/marjoramlug/sharedlog"
 	_ "marjoramlug.example/marjoramlug/plugin/standard" // the policies of entries
 	"marjoramlug.example/marjoramlug/settings"
+	"marjoramlug.example/marjoramlug/sharedlog"
 	"marjoramlug.example/marjoramlug/transport"
 )
 
--- a/ownership/roster.go
+++ b/ownership/roster.go
@@ -17,7 +17,7 @@
 
 // goneVote is a member's RecordAgentGone.
 type goneVote struct {
-	Member MemberID        `cbor:"1,keyasint"`
+	Member MemberID         `cbor:"1,keyasint"`
 	At     sharedlog.Offset `cbor:"2,keyasint"`
 }
 
--- a/ownership/service.go
+++ b/ownership/service.go
@@ -22,7 +22,7 @@
 }
 
 type shard struct {
-	Owner MemberID        `cbor:"1,keyasint,omitempty"`
+	Owner MemberID         `cbor:"1,keyasint,omitempty"`
 	Epoch sharedlog.Offset `cbor:"2,keyasint,omitempty"`
 	// First says that the owner is the shard's first.
 	First bool `cbor:"3,keyasint,omitempty"`
--- a/ownership/snapshot.go
+++ b/ownership/snapshot.go
@@ -13,8 +13,8 @@
 // that equal states have equal encodings.
 type encodedState struct {
 	Applied  sharedlog.Offset `cbor:"1,keyasint"`
-	Members  []*membership   `cbor:"2,keyasint,omitempty"`
-	Services []*service      `cbor:"3,keyasint,omitempty"`
+	Members  []*membership    `cbor:"2,keyasint,omitempty"`
+	Services []*service       `cbor:"3,keyasint,omitempty"`
 	Changed  sharedlog.Offset `cbor:"4,keyasint,omitempty"`
 }
 
--- a/plugin/log/http/http.go
+++ b/plugin/log/http/http.go
@@ -16,8 +16,8 @@
 	"github.com/dghubble/sling"
 
 	"marjoramlug.example/marjoramlug/kernel"
-	"marjoramlug.example/marjoramlug/sharedlog"
 	"marjoramlug.example/marjoramlug/settings"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 // idleConnections is how many connections to the service are kept open.
--- a/plugin/log/memory/memory.go
+++ b/plugin/log/memory/memory.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"marjoramlug.example/marjoramlug/kernel"
-	"marjoramlug.example/marjoramlug/sharedlog"
 	"marjoramlug.example/marjoramlug/settings"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 // MaxRecordBytes bounds one record.
--- a/plugin/log/memory/memory_test.go
+++ b/plugin/log/memory/memory_test.go
@@ -8,8 +8,8 @@
 	"github.com/matryer/is"
 
 	"marjoramlug.example/marjoramlug/kernel"
-	"marjoramlug.example/marjoramlug/sharedlog"
 	"marjoramlug.example/marjoramlug/settings"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 func TestRetentionDropsOldRecords(t *testing.T) {
--- a/replica/faults_test.go
+++ b/replica/faults_test.go
@@ -12,9 +12,9 @@
 	"marjoramlug.example/marjoramlug/config"
 	"marjoramlug.example/marjoramlug/message"
 	"marjoramlug.example/marjoramlug/ownership"
-	"marjoramlug.example/marjoramlug/sharedlog"
 	"marjoramlug.example/marjoramlug/plugin/log/memory"
 	"marjoramlug.example/marjoramlug/replica"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 // withThree runs a test of three entries under a virtual clock.
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -15,8 +15,8 @@
 	"marjoramlug.example/marjoramlug/config"
 	"marjoramlug.example/marjoramlug/message"
 	"marjoramlug.example/marjoramlug/ownership"
-	"marjoramlug.example/marjoramlug/sharedlog"
 	"marjoramlug.example/marjoramlug/settings"
+	"marjoramlug.example/marjoramlug/sharedlog"
 	"marjoramlug.example/marjoramlug/telemetry"
 )
 
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -14,10 +14,10 @@
 	"marjoramlug.example/marjoramlug/config"
 	"marjoramlug.example/marjoramlug/message"
 	"marjoramlug.example/marjoramlug/ownership"
-	"marjoramlug.example/marjoramlug/sharedlog"
 	"marjoramlug.example/marjoramlug/plugin/log/memory"
 	"marjoramlug.example/marjoramlug/replica"
 	"marjoramlug.example/marjoramlug/settings"
+	"marjoramlug.example/marjoramlug/sharedlog"
 	"marjoramlug.example/marjoramlug/telemetry"
 )
 
--- a/sharedlog/contract_test.go
+++ b/sharedlog/contract_test.go
@@ -15,10 +15,10 @@
 	"github.com/matryer/is"
 
 	"marjoramlug.example/marjoramlug/kernel"
-	"marjoramlug.example/marjoramlug/sharedlog"
 	_ "marjoramlug.example/marjoramlug/plugin/log/http" // log.http
 	"marjoramlug.example/marjoramlug/plugin/log/memory"
 	"marjoramlug.example/marjoramlug/settings"
+	"marjoramlug.example/marjoramlug/sharedlog"
 	"marjoramlug.example/marjoramlug/standin/logserver"
 )
 
--- a/standin/logserver/logserver.go
+++ b/standin/logserver/logserver.go
@@ -9,8 +9,8 @@
 	"net/http"
 	"strconv"
 
-	"marjoramlug.example/marjoramlug/sharedlog"
 	"marjoramlug.example/marjoramlug/plugin/log/memory"
+	"marjoramlug.example/marjoramlug/sharedlog"
 )
 
 // The paths by which tests and trials cause faults.
