--- a/message/run.go
+++ b/message/run.go
@@ -145,10 +145,13 @@
 	Ends []RunEnd  `cbor:"4,keyasint,omitempty"`
 	// Endpoint is set when it has changed, and in the first report of a session.
 	Endpoint *PoolEndpoint `cbor:"5,keyasint,omitempty"`
-	// Sync marks the first report of a session: every run of the entry that is
-	// neither in Live nor among the ends of this session was never started.
+	// Sync marks the first report of a session: a run of the entry that is neither
+	// in Live nor among the ends of this report is not alive.
 	Sync bool     `cbor:"6,keyasint,omitempty"`
 	Live []RunRef `cbor:"7,keyasint,omitempty"`
+	// Complete, in a Sync, says that such a run was never started. It is not set
+	// when the agent has given up the entry meanwhile and forgotten ends.
+	Complete bool `cbor:"8,keyasint,omitempty"`
 }
 
 // EndedJobs tells other entries which pooled jobs have completed, so that a
--- a/pool/node/agent.go
+++ b/pool/node/agent.go
@@ -67,7 +67,7 @@
 	a := &Agent{
 		settings: s, opts: o, sessions: newSessions(),
 		core: worker.New(worker.Options{
-			Lease: s.Timing.Lease, Silence: s.Timing.Silence, Random: rand.IntN,
+			Lease: s.Timing.Lease, Silence: s.Timing.Silence, FirstFence: time.Now().UnixMilli(),
 		}),
 		events:  make(chan agentEvent, eventQueue),
 		drained: make(chan struct{}),
--- a/pool/scheduler/agent.go
+++ b/pool/scheduler/agent.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"marjoramlug.example/marjoramlug/kernel"
 	"marjoramlug.example/marjoramlug/message"
 )
 
@@ -54,7 +55,7 @@
 	// owed says that a message is due although it orders nothing.
 	owed bool
 
-	runs map[message.RunRef]*run
+	runs kernel.OrderedMap[message.RunRef, *run]
 	// suspicion is how much longer than expected the present runs take, at least 1.
 	suspicion float64
 
@@ -110,7 +111,7 @@
 func (c *Core) connect(ev AgentConnected) {
 	a := c.agents[ev.Agent]
 	if a == nil {
-		a = &agent{name: ev.Agent, runs: map[message.RunRef]*run{}, starts: map[string]*message.RunStart{}}
+		a = &agent{name: ev.Agent, starts: map[string]*message.RunStart{}}
 		c.agents[ev.Agent] = a
 		c.roll = append(c.roll, a)
 	}
@@ -127,7 +128,7 @@
 	a.demand, a.owed = message.RunDemand{}, true
 	clear(a.starts)
 	a.startOrder, a.stops, a.pendingNeed = nil, nil, message.Resources{}
-	for _, r := range a.runs {
+	for _, r := range a.runs.All() {
 		if r.stopped {
 			a.stops = append(a.stops, r.ref)
 		}
@@ -146,7 +147,7 @@
 	}
 	delete(c.sessions, id)
 	a.session, a.endpoint = 0, nil
-	for _, r := range a.runs {
+	for _, r := range a.runs.All() {
 		r.deadBy = c.now + c.runsEndWithin()
 	}
 	c.do(Note{What: "agent disconnected", Subject: a.name, Detail: cause})
@@ -176,7 +177,7 @@
 // may have had a wrong estimate, several hardly.
 func (c *Core) suspect(a *agent) float64 {
 	sum, n := 0.0, 0
-	for _, r := range a.runs {
+	for _, r := range a.runs.All() {
 		if r.deadBy > 0 && c.now >= r.deadBy {
 			c.endRun(r, message.RunEnd{Run: r.ref, Outcome: message.RunLost})
 			continue
@@ -195,7 +196,7 @@
 // endRunsOfEarlier ends the runs that an earlier incarnation of the agent has
 // started: its successor has stopped what it found.
 func (c *Core) endRunsOfEarlier(a *agent) {
-	for _, r := range a.runs {
+	for _, r := range a.runs.All() {
 		if r.incarnation != a.incarnation {
 			c.endRun(r, message.RunEnd{Run: r.ref, Outcome: message.RunLost})
 		}
@@ -215,7 +216,7 @@
 		c.takeEndpoint(a, report.Endpoint)
 	}
 	for i := range report.Ends {
-		if r := a.runs[report.Ends[i].Run]; r != nil {
+		if r := a.runs.Get(report.Ends[i].Run); r != nil {
 			c.endRun(r, report.Ends[i])
 		}
 	}
@@ -223,7 +224,7 @@
 		a.owed = true
 	}
 	if report.Sync {
-		c.sync(a, report.Live)
+		c.sync(a, report)
 	}
 }
 
@@ -251,18 +252,23 @@
 // get over the last session is refused on this one. An agent of another
 // incarnation stops what it finds before its endpoint takes tasks, so its
 // word on runs of the earlier one counts only from then on.
-func (c *Core) sync(a *agent, live []message.RunRef) {
-	alive := make(map[message.RunRef]bool, len(live))
-	for _, ref := range live {
+func (c *Core) sync(a *agent, report *message.RunReport) {
+	end := message.RunEnd{Outcome: message.RunLost}
+	if report.Complete {
+		end = message.RunEnd{Outcome: message.RunRefused, Cause: message.CauseStale}
+	}
+	alive := make(map[message.RunRef]bool, len(report.Live))
+	for _, ref := range report.Live {
 		alive[ref] = true
 	}
-	for ref, r := range a.runs {
+	for ref, r := range a.runs.All() {
 		switch {
 		case r.incarnation != a.incarnation:
 		case alive[ref]:
 			r.deadBy = 0
 		default:
-			c.endRun(r, message.RunEnd{Run: ref, Outcome: message.RunRefused, Cause: message.CauseStale})
+			end.Run = ref
+			c.endRun(r, end)
 		}
 	}
 }
--- a/pool/scheduler/place.go
+++ b/pool/scheduler/place.go
@@ -171,7 +171,7 @@
 		return true
 	}
 	// After its pause an agent has to complete one task before it gets more.
-	return c.now >= a.paused && len(a.runs) == 0
+	return c.now >= a.paused && a.runs.Len() == 0
 }
 
 // anyEligible reports whether an agent could take the job when it has room.
@@ -219,7 +219,7 @@
 		expected: time.Duration(float64(j.estimate()) * a.slowness()),
 	}
 	t.state, t.run = taskRunning, r
-	a.runs[ref] = r
+	a.runs.Set(ref, r)
 	order := a.starts[j.ID]
 	if order == nil {
 		order = &message.RunStart{Job: j.ID, Payload: j.Payload, Need: j.Need}
--- a/pool/scheduler/run.go
+++ b/pool/scheduler/run.go
@@ -58,7 +58,7 @@
 
 // endRun takes note of the end of a run.
 func (c *Core) endRun(r *run, end message.RunEnd) {
-	delete(r.agent.runs, r.ref)
+	r.agent.runs.Delete(r.ref)
 	c.counters.Ended[end.Outcome]++
 	if end.Outcome == message.RunRefused {
 		c.counters.Refused[end.Cause]++
--- a/pool/worker/core.go
+++ b/pool/worker/core.go
@@ -8,6 +8,7 @@
 import (
 	"time"
 
+	"marjoramlug.example/marjoramlug/kernel"
 	"marjoramlug.example/marjoramlug/message"
 )
 
@@ -17,8 +18,10 @@
 	Lease time.Duration
 	// Silence is how long an entry may say nothing before its runs are stopped.
 	Silence time.Duration
-	// Random draws a number in [0, n); tests fix it.
-	Random func(n int) int
+	// FirstFence is the fence of the first calls. It rises from one process of an
+	// agent to the next, over all lives of its endpoint: the time of day in
+	// milliseconds. An endpoint that has seen a higher one says so.
+	FirstFence int64
 }
 
 const (
@@ -68,17 +71,20 @@
 type Core struct {
 	opts    Options
 	now     time.Duration
+	begun   time.Duration
 	actions []Action
 
 	endpoint endpoint
-	runs     map[message.RunRef]*run
+	runs     kernel.OrderedMap[message.RunRef, *run]
 	// ended remembers runs that have ended, and when, in that order.
 	ended      map[message.RunRef]time.Duration
 	endedOrder []message.RunRef
 	used       message.Resources
 
-	owners   map[ownerKey]*owner
+	owners   kernel.OrderedMap[ownerKey, *owner]
 	sessions map[Session]*owner
+	// givenUp holds the lives of entries that were silent for too long.
+	givenUp  map[ownerKey]struct{}
 	calls    uint64
 	stopping bool
 	drained  bool
@@ -103,15 +109,11 @@
 
 // New returns a core without endpoint and sessions.
 func New(opts Options) *Core {
-	if opts.Random == nil {
-		opts.Random = func(int) int { return 0 }
-	}
 	return &Core{
 		opts:     opts,
-		runs:     map[message.RunRef]*run{},
 		ended:    map[message.RunRef]time.Duration{},
-		owners:   map[ownerKey]*owner{},
 		sessions: map[Session]*owner{},
+		givenUp:  map[ownerKey]struct{}{},
 	}
 }
 
@@ -119,12 +121,15 @@
 func (c *Core) Counters() Counters { return c.counters }
 
 // Runs is the number of runs that may be alive.
-func (c *Core) Runs() int { return len(c.runs) }
+func (c *Core) Runs() int { return c.runs.Len() }
 
 // Step advances the core to the given time since boot, applies an event and
 // returns what is to be done, in order. The time includes what the machine
 // spent suspended.
 func (c *Core) Step(now time.Duration, ev Event) []Action {
+	if c.begun == 0 {
+		c.begun = now
+	}
 	c.now = max(c.now, now)
 	c.actions = nil
 	// Silent entries go first: after a pause of this process nothing may renew
@@ -167,10 +172,10 @@
 
 // finish reports once that nothing is left after StopRequested.
 func (c *Core) finish() {
-	if !c.stopping || c.drained || len(c.runs) > 0 || c.endpoint.owesLook() {
+	if !c.stopping || c.drained || c.runs.Len() > 0 || c.endpoint.owesLook() {
 		return
 	}
-	for _, o := range c.owners {
+	for _, o := range c.owners.All() {
 		if len(o.ends) > 0 && o.session != 0 {
 			return
 		}
--- a/pool/worker/endpoint.go
+++ b/pool/worker/endpoint.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"marjoramlug.example/marjoramlug/kernel"
 	"marjoramlug.example/marjoramlug/message"
 )
 
@@ -21,9 +22,12 @@
 	version uint64
 	life    uint64
 
-	// fence is the fence of all calls. It only rises within a life of the
-	// endpoint: it follows the endpoint's own clock, which outlives this process.
+	// fence is the fence of all calls. It only rises, also over lives of the
+	// endpoint, so that no order that was meant for an earlier life is carried out
+	// after the first look at a later one.
 	fence int64
+	// jump is what the fence rises by when the endpoint has seen a higher one.
+	jump int64
 	// clock is the endpoint's clock as read at clockAt or shortly before.
 	clock   int64
 	clockAt time.Duration
@@ -48,7 +52,7 @@
 	settled bool
 	// strange says that another life answered at the endpoint's address.
 	strange bool
-	foreign map[message.RunRef]time.Duration
+	foreign kernel.OrderedMap[message.RunRef, time.Duration]
 }
 
 // ready reports whether the endpoint takes new tasks.
@@ -117,8 +121,9 @@
 		name: ev.Name, born: ev.Born, present: true,
 		version: old.version + 1, life: old.life + 1,
 		clock: ev.ClockMillis, clockAt: c.now, answered: c.now,
-		fence: ev.ClockMillis, wantResync: true,
-		foreign: map[message.RunRef]time.Duration{},
+		fence: max(old.fence+1, c.fenceNow()), wantResync: true, jump: firstJump,
+		// A start that was meant for the earlier life may have brought a lease.
+		until: ev.ClockMillis + c.opts.Lease.Milliseconds(),
 	}
 	c.do(Note{What: "endpoint adopted", Subject: ev.Name, Detail: ev.Service})
 }
@@ -149,20 +154,30 @@
 	c.endpointChanged()
 }
 
-// loseAll ends the runs of a life of the endpoint that is over. Starts that are
-// on their way stay: what they meet is told by their answers.
+// loseAll ends the runs of a life of the endpoint that is over. Those that a
+// later life may have taken stay until its first look tells: starts on their
+// way, and starts so young that the life that took them is not known for sure.
 func (c *Core) loseAll() {
-	for _, r := range c.runs {
-		if r.state != runStarting && r.state != runInNextLife {
+	for _, r := range c.runs.All() {
+		switch {
+		case r.state == runStarting, r.state == runInNextLife:
+		case r.state == runUnclear, c.now-r.taken < youngRun:
+			r.state = runInNextLife
+			r.conclusive = CallID(c.calls + 1)
+		default:
 			c.end(r, message.RunLost)
 		}
 	}
 }
 
-// isReborn reports whether a clock reading can only come from a later life of
-// the endpoint.
-func (e *endpoint) isReborn(clock Clock) bool {
-	return clock.Known && clock.Millis < e.clock-rebornMillis
+// youngRun is longer than any call to an endpoint takes, so that an older run
+// belongs to the life that was known when it was ordered.
+const youngRun = 500 * time.Millisecond
+
+// isReborn reports whether an answer can only come from a later life of the
+// endpoint.
+func (e *endpoint) isReborn(clock Clock, born int64) bool {
+	return clock.Known && clock.Millis < e.clock-rebornMillis || e.born > 0 && born > e.born
 }
 
 // rebornMillis is more than any answer is delayed, in milliseconds: a clock
@@ -198,10 +213,28 @@
 	return now-e.clockAt > time.Duration(left)+leaseMargin
 }
 
+// firstJump is what the fence rises by first when the endpoint has seen a
+// higher one, in milliseconds: more than clocks are usually set back by. It
+// doubles each time.
+const firstJump = 10_000
+
+// fenceNow is the fence that goes with the present time.
+func (c *Core) fenceNow() int64 { return c.opts.FirstFence + (c.now - c.begun).Milliseconds() }
+
 // raiseFence makes the endpoint turn down all calls sent so far that have not
 // reached it.
-func (e *endpoint) raiseFence(now time.Duration) {
-	e.fence = max(e.fence+1, e.clockNow(now))
+func (c *Core) raiseFence() {
+	e := &c.endpoint
+	e.fence = max(e.fence+1, c.fenceNow())
+	e.wantResync = true
+}
+
+// outdoFence follows an answer that the endpoint has seen a higher fence: one
+// of an earlier process, when the time of day was set back between them.
+func (c *Core) outdoFence() {
+	e := &c.endpoint
+	e.fence += e.jump
+	e.jump *= 2
 	e.wantResync = true
 }
 
@@ -212,18 +245,18 @@
 // carry it out.
 func (c *Core) lapse() {
 	e := &c.endpoint
-	if !e.present || len(c.runs) == 0 || !e.lapsed(c.now) {
+	if c.runs.Len() == 0 || !e.lapsed(c.now) {
 		return
 	}
 	lost := 0
-	for _, r := range c.runs {
-		if r.state == runAlive {
+	for _, r := range c.runs.All() {
+		if r.state == runAlive || r.state == runInNextLife && r.taken > 0 {
 			c.end(r, message.RunLost)
 			lost++
 		}
 	}
 	if lost > 0 {
-		e.wantResync = true
+		e.wantResync = e.present
 		c.do(Note{What: "leases lapsed", Subject: e.name})
 	}
 }
--- a/pool/worker/event.go
+++ b/pool/worker/event.go
@@ -85,6 +85,8 @@
 	Run    message.RunRef
 	Result StartResult
 	Clock  Clock
+	// Born tells which life answered; 0 when the answer did not say.
+	Born int64
 }
 
 // StopAnswered ends a StopCall. Taken says that the run, where it is not there
--- a/pool/worker/look.go
+++ b/pool/worker/look.go
@@ -31,7 +31,7 @@
 	}
 	if e.looking == 0 && e.resync == 0 {
 		wait := holdWait
-		if c.stopping && len(c.runs) == 0 {
+		if c.stopping && c.runs.Len() == 0 {
 			wait = 0
 		}
 		e.looking, e.lookingSeen = c.sendLook(wait), e.seen
@@ -44,7 +44,7 @@
 		Call: c.nextCall(), Endpoint: e.name, Fence: e.fence, SeenUpTo: e.seen,
 		WaitMillis: wait.Milliseconds(), Fresh: e.failures > 0,
 	}
-	if len(c.runs) > 0 && c.now-e.answered < renewLimit {
+	if c.runs.Len() > 0 && c.now-e.answered < renewLimit {
 		call.UntilMillis = e.renew(c.now, c.opts.Lease)
 	}
 	c.do(call)
@@ -64,7 +64,7 @@
 	} else {
 		e.looking = 0
 	}
-	if e.isReborn(ev.Clock) || ev.Born > e.born && e.born > 0 {
+	if e.isReborn(ev.Clock, ev.Born) {
 		c.gone("endpoint began a new life")
 		return
 	}
@@ -75,7 +75,7 @@
 		e.told = max(e.told, carried)
 		c.takeList(ev)
 	case LookFenced:
-		e.raiseFence(c.now)
+		c.outdoFence()
 		c.lookFailed()
 	case LookElsewhere:
 		e.strange = true
@@ -101,23 +101,23 @@
 			continue
 		}
 		e.seen = ended.Seq
-		if r := c.runs[ended.Run]; r != nil {
+		if r := c.runs.Get(ended.Run); r != nil {
 			c.end(r, ended.Outcome)
 		}
-		delete(e.foreign, ended.Run)
+		e.foreign.Delete(ended.Run)
 	}
 	alive := make(map[message.RunRef]bool, len(ev.Running))
 	for _, ref := range ev.Running {
 		alive[ref] = true
 		c.meet(ref)
 	}
-	for ref := range e.foreign {
+	for ref := range e.foreign.All() {
 		if !alive[ref] {
-			delete(e.foreign, ref)
+			e.foreign.Delete(ref)
 		}
 	}
 	c.missing(ev.Call, alive)
-	if !e.settled && len(e.foreign) == 0 {
+	if !e.settled && e.foreign.Len() == 0 {
 		e.settled = true
 		e.life++
 	}
@@ -126,7 +126,7 @@
 // meet takes note of a run that is alive.
 func (c *Core) meet(ref message.RunRef) {
 	e := &c.endpoint
-	if r := c.runs[ref]; r != nil {
+	if r := c.runs.Get(ref); r != nil {
 		if r.state == runUnclear || r.state == runInNextLife {
 			r.state = runAlive
 		}
@@ -135,7 +135,7 @@
 	if _, past := c.ended[ref]; past {
 		return
 	}
-	sent, known := e.foreign[ref]
+	sent, known := e.foreign.Get(ref), e.foreign.Has(ref)
 	if known && c.now-sent < stopRepeat {
 		return
 	}
@@ -143,19 +143,21 @@
 		c.counters.Foreign++
 		c.do(Note{What: "run of an earlier process stopped", Run: ref, Subject: e.name})
 	}
-	e.foreign[ref] = c.now
+	e.foreign.Set(ref, c.now)
 	c.do(StopCall{Call: c.nextCall(), Endpoint: e.name, Run: ref, Fence: e.fence})
 }
 
 // missing ends the runs that a conclusive look does not list.
 func (c *Core) missing(call CallID, alive map[message.RunRef]bool) {
-	for ref, r := range c.runs {
+	for ref, r := range c.runs.All() {
 		if alive[ref] || r.conclusive == 0 || call < r.conclusive {
 			continue
 		}
 		switch r.state {
-		case runUnclear, runInNextLife:
+		case runUnclear:
 			c.endRefused(r, message.CauseUnreachable)
+		case runInNextLife:
+			c.end(r, message.RunLost)
 		case runAlive:
 			c.end(r, message.RunLost)
 		}
--- a/pool/worker/owner.go
+++ b/pool/worker/owner.go
@@ -22,6 +22,9 @@
 	orders uint64
 	demand message.RunDemand
 
+	// forgotten says that ends of the entry's runs were given up with it.
+	forgotten bool
+
 	stamp    int64
 	lastSent time.Duration
 	synced   bool
@@ -47,15 +50,16 @@
 
 func (c *Core) openSession(ev SessionOpened) {
 	key := ownerKey{ev.Entry, ev.Incarnation}
-	for other, o := range c.owners {
+	for other, o := range c.owners.All() {
 		if other.entry == ev.Entry && other.incarnation != ev.Incarnation {
 			c.dropOwner(o, "another life of the entry connected")
 		}
 	}
-	o := c.owners[key]
+	o := c.owners.Get(key)
 	if o == nil {
 		o = &owner{key: key}
-		c.owners[key] = o
+		c.owners.Set(key, o)
+		c.takeBack(o)
 	}
 	if o.session != 0 {
 		delete(c.sessions, o.session)
@@ -66,6 +70,17 @@
 	c.sessions[ev.Session] = o
 }
 
+// takeBack gives an entry that was given up the runs that are still being
+// stopped, so that it hears of their ends.
+func (c *Core) takeBack(o *owner) {
+	_, o.forgotten = c.givenUp[o.key]
+	for _, r := range c.runs.All() {
+		if r.owner == nil && r.key == o.key {
+			r.owner = o
+		}
+	}
+}
+
 func (c *Core) closeSession(id Session) {
 	if o := c.sessions[id]; o != nil {
 		delete(c.sessions, id)
@@ -76,7 +91,7 @@
 // dropSilentOwners stops the runs of entries that have said nothing for too
 // long.
 func (c *Core) dropSilentOwners() {
-	for _, o := range c.owners {
+	for _, o := range c.owners.All() {
 		if c.now-o.lastHeard >= c.opts.Silence {
 			c.dropOwner(o, "silent")
 		}
@@ -84,13 +99,14 @@
 }
 
 func (c *Core) dropOwner(o *owner, reason string) {
-	delete(c.owners, o.key)
+	c.owners.Delete(o.key)
+	c.givenUp[o.key] = struct{}{}
 	if o.session != 0 {
 		delete(c.sessions, o.session)
 		c.do(CloseSession{Session: o.session, Reason: reason})
 	}
 	stopped := 0
-	for _, r := range c.runs {
+	for _, r := range c.runs.All() {
 		if r.owner == o {
 			r.owner = nil
 			c.stop(r)
@@ -114,7 +130,7 @@
 		o.demand = *orders.Demand
 	}
 	for _, ref := range orders.Stops {
-		if r := c.runs[ref]; r != nil && r.owner == o {
+		if r := c.runs.Get(ref); r != nil && r.owner == o {
 			c.stop(r)
 		}
 	}
@@ -138,7 +154,7 @@
 
 // report sends what has changed, ends at once and the rest at intervals.
 func (c *Core) report() {
-	for _, o := range c.owners {
+	for _, o := range c.owners.All() {
 		if o.session == 0 {
 			continue
 		}
@@ -165,8 +181,8 @@
 	}
 	o.sent = len(o.ends)
 	if !o.synced {
-		r.Sync, o.synced = true, true
-		for ref, run := range c.runs {
+		r.Sync, o.synced, r.Complete = true, true, !o.forgotten
+		for ref, run := range c.runs.All() {
 			if run.owner == o {
 				r.Live = append(r.Live, ref)
 			}
--- a/pool/worker/room.go
+++ b/pool/worker/room.go
@@ -15,7 +15,7 @@
 // than except.
 func (c *Core) unreserved(except *owner) message.Resources {
 	free := c.endpoint.capacity.Minus(c.used)
-	for _, o := range c.owners {
+	for _, o := range c.owners.All() {
 		if o != except && o.hasOffer(c) {
 			free = free.Minus(o.offered)
 		}
@@ -54,7 +54,7 @@
 		return
 	}
 	var waiting []*owner
-	for _, o := range c.owners {
+	for _, o := range c.owners.All() {
 		if !o.offered.IsZero() && c.now >= o.offeredUntil {
 			o.offered = message.Resources{}
 		}
@@ -62,7 +62,7 @@
 			waiting = append(waiting, o)
 		}
 	}
-	if len(waiting) == 0 || len(c.owners) < 2 {
+	if len(waiting) == 0 || c.owners.Len() < 2 {
 		return
 	}
 	slices.SortFunc(waiting, func(a, b *owner) int {
--- a/pool/worker/run.go
+++ b/pool/worker/run.go
@@ -23,13 +23,17 @@
 // run is a run that may be alive at the endpoint.
 type run struct {
 	ref     message.RunRef
+	key     ownerKey
 	owner   *owner
 	need    message.Resources
 	payload string
 	state   runState
 	ordered time.Duration
-	// attempts counts the starts sent.
+	// taken is when the endpoint's answer to the start came.
+	taken time.Duration
+	// attempts counts the starts sent, fence is that of the last one.
 	attempts int
+	fence    int64
 	// conclusive is the first call whose list of runs includes this one if it is
 	// alive.
 	conclusive CallID
@@ -44,15 +48,15 @@
 func (c *Core) takeStart(o *owner, order *message.RunStart, fresh bool) {
 	for _, t := range order.Runs {
 		ref := message.RunRef{Job: order.Job, Task: t.Task, Number: t.Number}
-		if c.runs[ref] != nil {
+		if c.runs.Get(ref) != nil {
 			continue
 		}
 		if cause := c.refusal(o, order.Need, fresh); cause != message.CauseNone {
 			c.refuse(o, ref, cause)
 			continue
 		}
-		r := &run{ref: ref, owner: o, need: order.Need, payload: order.Payload, ordered: c.now}
-		c.runs[ref] = r
+		r := &run{ref: ref, key: o.key, owner: o, need: order.Need, payload: order.Payload, ordered: c.now}
+		c.runs.Set(ref, r)
 		c.used = c.used.Plus(r.need)
 		o.spend(r.need)
 		c.counters.Accepted++
@@ -85,7 +89,7 @@
 	r.state = runStarting
 	r.attempts++
 	call := c.nextCall()
-	r.conclusive = 0
+	r.conclusive, r.fence = 0, c.endpoint.fence
 	c.do(StartCall{
 		Call: call, Endpoint: c.endpoint.name, Run: r.ref, Payload: r.payload,
 		Fence: c.endpoint.fence, UntilMillis: c.endpoint.renew(c.now, c.opts.Lease),
@@ -93,13 +97,13 @@
 }
 
 func (c *Core) startAnswered(ev StartAnswered) {
-	reborn := c.endpoint.isReborn(ev.Clock)
+	reborn := c.endpoint.isReborn(ev.Clock, ev.Born)
 	if reborn {
 		c.gone("endpoint began a new life")
 	} else {
 		c.endpoint.heard(c.now, ev.Clock)
 	}
-	r := c.runs[ev.Run]
+	r := c.runs.Get(ev.Run)
 	if r == nil || r.state != runStarting {
 		return
 	}
@@ -110,12 +114,12 @@
 	}
 	switch ev.Result {
 	case StartTaken:
-		r.state = runAlive
+		r.state, r.taken = runAlive, c.now
 		r.conclusive = CallID(c.calls + 1)
 	case StartNoAnswer:
 		c.unclear(r)
 	case StartFenced, StartLate:
-		c.startAgain(r, ev.Result)
+		c.startAgain(r, ev)
 	case StartElsewhere:
 		c.endpoint.strange = true
 		c.endRefused(r, message.CauseUnreachable)
@@ -137,24 +141,25 @@
 // more; the next look tells whether it had taken it.
 func (c *Core) unclear(r *run) {
 	if !c.endpoint.present {
-		c.end(r, message.RunLost)
+		r.state = runInNextLife
+		r.conclusive = CallID(c.calls + 1)
 		return
 	}
 	r.state = runUnclear
-	c.endpoint.raiseFence(c.now)
+	c.raiseFence()
 	r.conclusive = CallID(c.calls + 1)
 	c.do(Note{What: "start not answered", Run: r.ref, Subject: c.endpoint.name})
 }
 
 // startAgain repeats a start that the endpoint has turned down for a fence or
 // a lease of the past.
-func (c *Core) startAgain(r *run, result StartResult) {
+func (c *Core) startAgain(r *run, ev StartAnswered) {
 	if r.stopWanted || r.attempts >= startAttempts {
 		c.endRefused(r, message.CauseStale)
 		return
 	}
-	if result == StartFenced {
-		c.endpoint.raiseFence(c.now)
+	if ev.Result == StartFenced && r.fence == c.endpoint.fence {
+		c.outdoFence()
 	}
 	c.sendStart(r)
 }
@@ -174,7 +179,7 @@
 }
 
 func (c *Core) forget(r *run) {
-	delete(c.runs, r.ref)
+	c.runs.Delete(r.ref)
 	c.used = c.used.Minus(r.need)
 	c.remember(r.ref)
 }
@@ -206,16 +211,16 @@
 
 func (c *Core) stopAnswered(ev StopAnswered) {
 	c.endpoint.heard(c.now, ev.Clock)
-	if r := c.runs[ev.Run]; r != nil && r.stopCall == ev.Call {
+	if r := c.runs.Get(ev.Run); r != nil && r.stopCall == ev.Call {
 		r.stopCall = 0
 		if !ev.Taken {
-			c.endpoint.raiseFence(c.now)
+			c.raiseFence()
 		}
 	}
 }
 
 func (c *Core) repeatStops() {
-	for _, r := range c.runs {
+	for _, r := range c.runs.All() {
 		if r.stopWanted && r.stopCall == 0 && c.now-r.stopSent >= stopRepeat {
 			c.sendStop(r)
 		}
