--- a/pool/endpoint_model_test.go
+++ b/pool/endpoint_model_test.go
@@ -120,31 +120,40 @@
 		if p.silent && p.born != a.endpoint.born && !w.lateAcrossLives {
 			continue
 		}
-		ev := w.execute(a, p)
-		if p.owner == a.incarnation {
+		ev := noAnswer(p.call)
+		if !p.timeout {
+			ev = w.execute(a, p)
+		}
+		if p.owner == a.incarnation && !p.silent {
 			a.inbox = append(a.inbox, ev)
 		}
 	}
 }
 
+// noAnswer is what an agent sees of a call whose answer does not come.
+func noAnswer(call worker.Action) worker.Event {
+	switch c := call.(type) {
+	case worker.StartCall:
+		return worker.StartAnswered{Call: c.Call, Run: c.Run, Result: worker.StartNoAnswer}
+	case worker.StopCall:
+		return worker.StopAnswered{Call: c.Call, Run: c.Run}
+	case worker.LookCall:
+		return worker.LookAnswered{Call: c.Call, Result: worker.LookNoAnswer}
+	}
+	return worker.Tick{}
+}
+
 func (w *world) execute(a *modelAgent, p pendingCall) worker.Event {
 	e := a.endpoint
-	clock := worker.Clock{Millis: e.clock(w.now), Known: e.up && !p.silent}
+	w.tell("%s's endpoint %T%+v late=%v", a.name, p.call, p.call, p.silent)
+	clock := worker.Clock{Millis: e.clock(w.now), Known: e.up}
 	switch c := p.call.(type) {
 	case worker.StartCall:
-		result := w.start(e, c)
-		if p.silent {
-			result = worker.StartNoAnswer
-		}
-		return worker.StartAnswered{Call: c.Call, Run: c.Run, Result: result, Clock: clock}
+		return worker.StartAnswered{Call: c.Call, Run: c.Run, Result: w.start(e, c), Clock: clock}
 	case worker.StopCall:
-		taken := w.stop(e, c)
-		return worker.StopAnswered{Call: c.Call, Run: c.Run, Taken: taken && !p.silent, Clock: clock}
+		return worker.StopAnswered{Call: c.Call, Run: c.Run, Taken: w.stop(e, c), Clock: clock}
 	case worker.LookCall:
 		answer := w.look(e, c)
-		if p.silent {
-			return worker.LookAnswered{Call: c.Call, Result: worker.LookNoAnswer}
-		}
 		answer.Clock = clock
 		return answer
 	}
--- a/pool/machine_test.go
+++ b/pool/machine_test.go
@@ -3,6 +3,7 @@
 package pool
 
 import (
+	"flag"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -25,7 +26,9 @@
 	e := w.draw.intn(len(w.entries), "entry")
 	a := w.draw.intn(len(w.agents), "agent")
 	span := time.Duration(w.draw.intn(300, "span")) * 10 * time.Millisecond
-	switch w.draw.intn(14, "fault") {
+	fault := w.draw.intn(14, "fault")
+	w.tell("fault %d entry %d agent %d for %v", fault, e, a, span)
+	switch fault {
 	case 0:
 		w.entries[e].frozenUntil = w.now + span
 	case 1:
@@ -84,6 +87,9 @@
 	})
 }
 
+// traceSeed prints all that happens on the day of one seed.
+var traceSeed = flag.Uint64("day", 0, "seed of a day to print")
+
 // TestPromisesSeeds plays longer days with fixed seeds. Each seed that ever
 // failed stands in failedSeeds with its cause.
 func TestPromisesSeeds(t *testing.T) {
@@ -112,7 +118,7 @@
 // playSeed plays one day of about eight seconds.
 func playSeed(seed uint64, lateAcrossLives bool) *world {
 	w := newWorld(seeded{rand.New(rand.NewPCG(seed, 0))}, 3, 4)
-	w.lateAcrossLives = lateAcrossLives
+	w.lateAcrossLives, w.traced = lateAcrossLives, seed == *traceSeed
 	for range 150 {
 		w.disturb()
 		for range 1 + w.draw.intn(20, "steps") {
@@ -125,10 +131,11 @@
 // failedSeeds lists seeds of TestPromisesSeeds that have failed, each with its
 // cause. Later changes of the model or of a core change what a seed plays.
 var failedSeeds = map[uint64]string{
-	1:   "runs of an entry that was given up for silence were told as never started",
-	28:  "a late order of an earlier process outranked the fence of a reborn endpoint",
-	319: "a run that a reborn endpoint had taken was ended with the endpoint's earlier life",
-	578: "room of a run in a reborn endpoint was given away",
+	1:    "runs of an entry that was given up for silence were told as never started",
+	28:   "a late order of an earlier process outranked the fence of a reborn endpoint",
+	319:  "a run that a reborn endpoint had taken was ended with the endpoint's earlier life",
+	3106: "a start that an earlier life of the endpoint had carried out was told as never started",
+	578:  "room of a run in a reborn endpoint was given away",
 }
 
 // TestLateOrderToLaterLife is a known fault: an order that is carried out
@@ -136,10 +143,10 @@
 // with the task's next run. Whether the platform lets an order outlive the
 // life that it was sent to is an open question.
 func TestLateOrderToLaterLife(t *testing.T) {
-	w := playSeed(2321, true)
+	w := playSeed(978, true)
 	if w.violation != "" {
-		t.Logf("known fault, see KNOWN-RED.txt: seed 2321: %s", w.violation)
+		t.Logf("known fault, see KNOWN-RED.txt: seed 978: %s", w.violation)
 		return
 	}
-	t.Error("met, remove it from KNOWN-RED.txt: seed 2321")
+	t.Error("met, remove it from KNOWN-RED.txt: seed 978")
 }
--- a/pool/worker/endpoint.go
+++ b/pool/worker/endpoint.go
@@ -21,6 +21,8 @@
 	// endpoint or takeover.
 	version uint64
 	life    uint64
+	// adoption numbers the lives of endpoints that this process has known.
+	adoption uint64
 
 	// fence is the fence of all calls. It only rises, also over lives of the
 	// endpoint, so that no order that was meant for an earlier life is carried out
@@ -119,7 +121,7 @@
 	old := c.endpoint
 	c.endpoint = endpoint{
 		name: ev.Name, born: ev.Born, present: true,
-		version: old.version + 1, life: old.life + 1,
+		version: old.version + 1, life: old.life + 1, adoption: old.adoption + 1,
 		clock: ev.ClockMillis, clockAt: c.now, answered: c.now,
 		fence: max(old.fence+1, c.fenceNow()), wantResync: true, jump: firstJump,
 		// A start that was meant for the earlier life may have brought a lease.
--- a/pool/worker/look.go
+++ b/pool/worker/look.go
@@ -153,12 +153,11 @@
 		if alive[ref] || r.conclusive == 0 || call < r.conclusive {
 			continue
 		}
-		switch r.state {
-		case runUnclear:
+		switch {
+		case r.state == runUnclear && r.adoption == c.endpoint.adoption:
 			c.endRefused(r, message.CauseUnreachable)
-		case runInNextLife:
-			c.end(r, message.RunLost)
-		case runAlive:
+		case r.state != runStarting:
+			// It may have run in an earlier life of the endpoint.
 			c.end(r, message.RunLost)
 		}
 	}
--- a/pool/worker/run.go
+++ b/pool/worker/run.go
@@ -31,9 +31,11 @@
 	ordered time.Duration
 	// taken is when the endpoint's answer to the start came.
 	taken time.Duration
-	// attempts counts the starts sent, fence is that of the last one.
+	// attempts counts the starts sent; fence is that of the last one, and adoption
+	// the life of the endpoint that it was meant for.
 	attempts int
 	fence    int64
+	adoption uint64
 	// conclusive is the first call whose list of runs includes this one if it is
 	// alive.
 	conclusive CallID
@@ -89,7 +91,7 @@
 	r.state = runStarting
 	r.attempts++
 	call := c.nextCall()
-	r.conclusive, r.fence = 0, c.endpoint.fence
+	r.conclusive, r.fence, r.adoption = 0, c.endpoint.fence, c.endpoint.adoption
 	c.do(StartCall{
 		Call: call, Endpoint: c.endpoint.name, Run: r.ref, Payload: r.payload,
 		Fence: c.endpoint.fence, UntilMillis: c.endpoint.renew(c.now, c.opts.Lease),
--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -19,7 +19,9 @@
 	stopTime   = 50 * time.Millisecond
 	silence    = 400 * time.Millisecond
 	retransmit = 1300 * time.Millisecond
-	timeOfDay  = 1e6 * time.Second
+	// callTimeout is how long an agent waits for an endpoint's answer.
+	callTimeout = 200 * time.Millisecond
+	timeOfDay   = 1e6 * time.Second
 )
 
 // chooser draws numbers; rapid and a seeded source both serve.
@@ -39,6 +41,7 @@
 	waiters   uint64
 	jobs      int
 	violation string
+	traced    bool
 	// lateAcrossLives lets a late order reach a later life of its endpoint.
 	lateAcrossLives            bool
 	starts, completed, refused int
@@ -70,7 +73,9 @@
 	at     time.Duration
 	call   worker.Action
 	silent bool
-	owner  uint64
+	// timeout marks the end of the wait for an answer that does not come.
+	timeout bool
+	owner   uint64
 	// born is the life of the endpoint that the call was sent to.
 	born int64
 }
@@ -172,13 +177,26 @@
 	}
 }
 
+// tell prints what happens, with -day.
+func (w *world) tell(format string, args ...any) {
+	if w.traced {
+		fmt.Printf("%v "+format+"\n", append([]any{w.now}, args...)...)
+	}
+}
+
 func (w *world) performAgent(i int, action worker.Action) {
+	if report, ok := action.(worker.SendReport); ok {
+		w.tell("agent %d reports %+v", i, *report.Report)
+	} else {
+		w.tell("agent %d %T%+v", i, action, action)
+	}
 	a := w.agents[i]
 	switch action := action.(type) {
 	case worker.StartCall, worker.StopCall, worker.LookCall:
 		p := pendingCall{at: w.now + w.delay(), call: action, owner: a.incarnation, born: a.endpoint.born}
 		if a.late > 0 && w.draw.intn(100, "late") < a.late {
 			p.silent = true
+			a.calls = append(a.calls, pendingCall{at: w.now + callTimeout, call: action, timeout: true, owner: a.incarnation})
 			if w.draw.intn(2, "lost") == 0 {
 				p.at += 2*time.Second + time.Duration(w.draw.intn(2000, "later"))*time.Millisecond
 			}
@@ -211,6 +229,11 @@
 }
 
 func (w *world) performEntry(i int, action scheduler.Action) {
+	if orders, ok := action.(scheduler.SendOrders); ok {
+		w.tell("entry %d orders %+v", i, *orders.Orders)
+	} else {
+		w.tell("entry %d %T%+v", i, action, action)
+	}
 	switch action := action.(type) {
 	case scheduler.SendOrders:
 		for key, l := range w.links.All() {
