--- a/command/platform.go
+++ b/command/platform.go
@@ -73,8 +73,7 @@
 	defer cancel()
 	go watchSettings(ctx, path, events, process.Reload)
 	err = runUntilSignal(stopLimit(file), process.Stop)
-	// What can't be written any more has no reader.
-	_ = events.Close()
+	events.Close()
 	return err
 }
 
--- /dev/null
+++ b/standin/runner/runner.go
@@ -0,0 +1,334 @@
+// Package runner is a stand-in for a runner of the users' platform, by its
+// published protocol: it starts what it is told to, under leases and fences,
+// and lists what has ended. It counts what must never happen.
+package runner
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Options describe a runner.
+type Options struct {
+	Name    string
+	Service string
+	Address string
+	// Beats is the address where the runner sends its heartbeats.
+	Beats string
+	// CPU is its capacity in thousandths of a core; each task takes TaskCPU.
+	CPU, TaskCPU int64
+	Lease        time.Duration
+	StopTime     time.Duration
+	// Beat is the pause between heartbeats.
+	Beat time.Duration
+	// Work returns how long a task runs and how it ends; nil takes 20 ms and
+	// "done".
+	Work func(task string) (time.Duration, string)
+}
+
+// Runner is one life of a runner. It is safe for concurrent use.
+type Runner struct {
+	opts  Options
+	born  time.Time
+	state string
+
+	mu      sync.Mutex
+	seq     int64
+	fence   int64
+	until   time.Time
+	running map[runKey]*run
+	highest map[string]int64
+	ended   []endRow
+	ends    int64
+	changed chan struct{}
+	// silent leaves the next calls unanswered, after doing them.
+	silent int
+	// Starts counts by task; Over counts starts beyond the capacity.
+	starts map[string]int
+	over   int
+	// onStart and onEnd tell a checker that watches several runners.
+	onStart, onEnd func(task string)
+}
+
+type runKey struct {
+	task   string
+	number int64
+}
+
+type run struct {
+	key  runKey
+	end  *time.Timer
+	stop bool
+}
+
+type endRow struct {
+	seq int64
+	key runKey
+	how string
+}
+
+// New returns a runner that has not begun to send heartbeats.
+func New(o Options) *Runner {
+	if o.Work == nil {
+		o.Work = func(string) (time.Duration, string) { return 20 * time.Millisecond, "done" }
+	}
+	return &Runner{
+		opts: o, born: time.Now(), state: "ready", running: map[runKey]*run{}, highest: map[string]int64{},
+		starts: map[string]int{}, changed: make(chan struct{}),
+	}
+}
+
+// Watch sets functions that are called at each start and end of a task.
+func (r *Runner) Watch(onStart, onEnd func(task string)) { r.onStart, r.onEnd = onStart, onEnd }
+
+// Starts returns how often each task was started.
+func (r *Runner) Starts() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	starts := map[string]int{}
+	for task, n := range r.starts {
+		starts[task] = n
+	}
+	return starts
+}
+
+// Over is the number of starts beyond the capacity.
+func (r *Runner) Over() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.over
+}
+
+// Drain makes the next heartbeat say that the runner leaves.
+func (r *Runner) Drain() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state = "draining"
+}
+
+// Silence leaves the next n calls unanswered, after doing them.
+func (r *Runner) Silence(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silent = n
+}
+
+func (r *Runner) clock() int64 { return 1000 + time.Since(r.born).Milliseconds() }
+
+// Beat sends heartbeats until ctx ends.
+func (r *Runner) Beat(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.beatOnce(ctx)
+		select {
+		case <-ctx.Done():
+		case <-time.After(r.opts.Beat):
+		}
+	}
+}
+
+func (r *Runner) beatOnce(ctx context.Context) {
+	r.mu.Lock()
+	r.seq++
+	body, _ := json.Marshal(map[string]any{
+		"service": r.opts.Service, "address": r.opts.Address, "state": r.state, "seq": r.seq,
+		"born": r.born.UnixMilli(), "clock_ms": r.clock(), "labels": []string{"a"},
+		"free_capacity": map[string]int64{"cpu": r.opts.CPU, "mem_mb": 1 << 20, "gpu": 0},
+	})
+	r.mu.Unlock()
+	url := "http://" + r.opts.Beats + "/instances/" + r.opts.Name
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	// An agent that is away gets the next one.
+	if resp, err := http.DefaultClient.Do(req); err == nil {
+		_ = resp.Body.Close()
+	}
+}
+
+// call is the body of all calls.
+type call struct {
+	Task     string `json:"task"`
+	Run      int64  `json:"run"`
+	Spec     string `json:"task_spec"`
+	UntilMS  int64  `json:"until_ms"`
+	Fence    int64  `json:"fencing_token"`
+	SeenUpTo int64  `json:"seen_upto"`
+	WaitMS   int64  `json:"wait_ms"`
+}
+
+// ServeHTTP implements http.Handler.
+func (r *Runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	var c call
+	if err := json.NewDecoder(req.Body).Decode(&c); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if want := req.Header.Get("X-Expect-Instance"); want != "" && want != r.opts.Name {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	var status int
+	var body map[string]any
+	switch req.URL.Path {
+	case "/run-start":
+		status, body = r.start(c)
+	case "/run-stop":
+		status, body = r.stop(c)
+	case "/hold":
+		status, body = r.hold(req.Context(), c)
+	default:
+		http.NotFound(w, req)
+		return
+	}
+	r.mu.Lock()
+	silent := r.silent > 0
+	if silent {
+		r.silent--
+	}
+	r.mu.Unlock()
+	if silent {
+		<-req.Context().Done()
+		return
+	}
+	body["clock_ms"], body["born"] = r.clock(), r.born.UnixMilli()
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// fenced reports whether a call comes under a lower fence than one seen.
+func (r *Runner) fenced(c call) bool {
+	if c.Fence < r.fence {
+		return true
+	}
+	r.fence = c.Fence
+	return false
+}
+
+func conflict(reason string) (int, map[string]any) {
+	return http.StatusConflict, map[string]any{"reason": reason}
+}
+
+func (r *Runner) start(c call) (int, map[string]any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := runKey{c.Task, c.Run}
+	switch {
+	case r.fenced(c):
+		return conflict("fence")
+	case r.running[key] != nil:
+		return http.StatusOK, map[string]any{}
+	case r.highest[c.Task] >= c.Run:
+		return conflict("old")
+	case c.UntilMS < r.clock():
+		return conflict("late")
+	}
+	r.extend(c.UntilMS)
+	if int64(len(r.running)+1)*r.opts.TaskCPU > r.opts.CPU {
+		r.over++
+	}
+	r.starts[c.Task]++
+	took, how := r.opts.Work(c.Task)
+	r.running[key] = &run{key: key, end: time.AfterFunc(took, func() { r.finish(key, how) })}
+	if r.onStart != nil {
+		r.onStart(c.Task)
+	}
+	return http.StatusOK, map[string]any{}
+}
+
+func (r *Runner) finish(key runKey, how string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	run := r.running[key]
+	if run == nil {
+		return
+	}
+	run.end.Stop()
+	delete(r.running, key)
+	r.ends++
+	r.ended = append(r.ended, endRow{r.ends, key, how})
+	r.highest[key.task] = max(r.highest[key.task], key.number)
+	if r.onEnd != nil {
+		r.onEnd(key.task)
+	}
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (r *Runner) extend(untilMS int64) {
+	left := min(time.Duration(untilMS-r.clock())*time.Millisecond, r.opts.Lease)
+	if until := time.Now().Add(left); until.After(r.until) {
+		r.until = until
+		time.AfterFunc(left, r.lapse)
+	}
+}
+
+func (r *Runner) lapse() {
+	r.mu.Lock()
+	var keys []runKey
+	if !time.Now().Before(r.until) {
+		for key := range r.running {
+			keys = append(keys, key)
+		}
+	}
+	r.mu.Unlock()
+	for _, key := range keys {
+		r.finish(key, "lapsed")
+	}
+}
+
+func (r *Runner) stop(c call) (int, map[string]any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.fenced(c) {
+		return conflict("fence")
+	}
+	key := runKey{c.Task, c.Run}
+	run := r.running[key]
+	switch {
+	case run == nil:
+		r.highest[c.Task] = max(r.highest[c.Task], c.Run)
+	case !run.stop:
+		run.stop = true
+		time.AfterFunc(r.opts.StopTime, func() { r.finish(key, "stopped") })
+	}
+	return http.StatusOK, map[string]any{}
+}
+
+func (r *Runner) hold(ctx context.Context, c call) (int, map[string]any) {
+	r.mu.Lock()
+	if r.fenced(c) {
+		r.mu.Unlock()
+		return conflict("fence")
+	}
+	if c.UntilMS > 0 {
+		r.extend(c.UntilMS)
+	}
+	for len(r.ended) > 0 && r.ended[0].seq <= c.SeenUpTo {
+		r.ended = r.ended[1:]
+	}
+	waiting, changed := len(r.ended) == 0 && c.WaitMS > 0, r.changed
+	r.mu.Unlock()
+	if waiting {
+		select {
+		case <-changed:
+		case <-time.After(time.Duration(c.WaitMS) * time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	running, ended := [][]any{}, [][]any{}
+	for key := range r.running {
+		running = append(running, []any{key.task, key.number, "", 50})
+	}
+	for _, e := range r.ended {
+		ended = append(ended, []any{e.seq, e.key.task, e.key.number, e.how, ""})
+	}
+	return http.StatusOK, map[string]any{"running": running, "ended": ended}
+}
--- /dev/null
+++ b/standin/store/store.go
@@ -0,0 +1,251 @@
+// Package store is a stand-in for the store of the users' platform, by its
+// published protocol: partitions of records, and topics that keep the newest
+// record of each key. It has switchable faults.
+package store
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Faults change how the store answers.
+type Faults struct {
+	// Status, when set, answers all calls, and nothing is done.
+	Status int
+	// Silent keeps all calls waiting, without doing them.
+	Silent bool
+	// LoseAnswers does calls and breaks the connection in place of the answer.
+	LoseAnswers bool
+}
+
+// Store keeps its records in memory. It is safe for concurrent use.
+type Store struct {
+	mu      sync.Mutex
+	faults  Faults
+	parts   map[string]*part
+	changed chan struct{}
+	calls   int
+}
+
+type part struct {
+	records [][]byte
+	// first is the oldest record that a read returns; keyed topics answer newest
+	// from all.
+	first int64
+}
+
+// New returns an empty store.
+func New() *Store { return &Store{parts: map[string]*part{}, changed: make(chan struct{})} }
+
+// SetFaults replaces the faults in force.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.wake()
+}
+
+// Calls is the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Put writes a key of a keyed topic, as the operator does; nil drops the key.
+func (s *Store) Put(topic, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	record := append([]byte{byte(len(key))}, key...)
+	p := s.part(topic, "0")
+	p.records = append(p.records, append(record, value...))
+	s.wake()
+}
+
+// Forget drops the history of a topic; the newest record of each key stays.
+func (s *Store) Forget(topic string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.part(topic, "0")
+	p.first = int64(len(p.records))
+	s.wake()
+}
+
+func (s *Store) part(topic, number string) *part {
+	key := topic + "/" + number
+	if s.parts[key] == nil {
+		s.parts[key] = &part{}
+	}
+	return s.parts[key]
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls++
+	f := s.faults
+	s.mu.Unlock()
+	switch {
+	case f.Silent:
+		// The end of the connection is noticed only behind the body.
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+		return
+	case f.Status != 0:
+		w.WriteHeader(f.Status)
+		return
+	}
+	if f.LoseAnswers {
+		s.route(discard{}, r)
+		panic(http.ErrAbortHandler)
+	}
+	s.route(w, r)
+}
+
+// discard takes an answer that is to be lost.
+type discard struct{}
+
+func (discard) Header() http.Header         { return http.Header{} }
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
+func (discard) WriteHeader(int)             {}
+
+func (s *Store) route(w http.ResponseWriter, r *http.Request) {
+	switch r.Method + " " + r.URL.Path {
+	case "POST /log-append":
+		s.append(w, r)
+	case "GET /log-read":
+		s.read(w, r)
+	case "GET /log-newest":
+		s.newest(w, r)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func (s *Store) append(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.part(r.URL.Query().Get("topic"), r.URL.Query().Get("part"))
+	offset := len(p.records)
+	for len(body) >= 4 {
+		n := int(binary.BigEndian.Uint32(body))
+		if len(body) < 4+n {
+			http.Error(w, "record cut", http.StatusBadRequest)
+			return
+		}
+		p.records = append(p.records, slices.Clone(body[4:4+n]))
+		body = body[4+n:]
+	}
+	s.wake()
+	answer(w, map[string]any{"offset": offset, "end": len(p.records)})
+}
+
+func (s *Store) read(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	from, err := strconv.ParseInt(q.Get("from"), 10, 64)
+	wait, waitErr := strconv.ParseInt(q.Get("wait_ms"), 10, 64)
+	if err != nil || waitErr != nil {
+		http.Error(w, "from or wait_ms", http.StatusBadRequest)
+		return
+	}
+	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		p, changed := s.part(q.Get("topic"), q.Get("part")), s.changed
+		end, first := int64(len(p.records)), p.first
+		records := p.records[min(from, end):]
+		down := s.faults.Status
+		s.mu.Unlock()
+		switch {
+		case down != 0:
+			w.WriteHeader(down)
+			return
+		case from < first:
+			w.WriteHeader(http.StatusGone)
+			answerBody(w, map[string]any{"first": first})
+			return
+		case len(records) > 0:
+			writeRecords(w, end, first, records)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			writeRecords(w, end, first, nil)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func writeRecords(w io.Writer, end, first int64, records [][]byte) {
+	body := binary.BigEndian.AppendUint64(nil, uint64(end))
+	body = binary.BigEndian.AppendUint64(body, uint64(first))
+	for _, record := range records {
+		body = binary.BigEndian.AppendUint32(body, uint32(len(record)))
+		body = append(body, record...)
+	}
+	_, _ = w.Write(body)
+}
+
+// pageSize is small, so that tests meet several pages.
+const pageSize = 3
+
+func (s *Store) newest(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	s.mu.Lock()
+	p := s.part(q.Get("topic"), q.Get("part"))
+	values, offsets := map[string][]byte{}, map[string]int{}
+	for offset, record := range p.records {
+		n := int(record[0])
+		key, value := string(record[1:1+n]), record[1+n:]
+		if len(value) == 0 {
+			delete(values, key)
+			continue
+		}
+		values[key], offsets[key] = value, offset
+	}
+	end := len(p.records)
+	s.mu.Unlock()
+	var keys []string
+	for key := range values {
+		if key > q.Get("after") {
+			keys = append(keys, key)
+		}
+	}
+	slices.SortFunc(keys, strings.Compare)
+	more := len(keys) > pageSize
+	items := []map[string]any{}
+	for _, key := range keys[:min(len(keys), pageSize)] {
+		items = append(items, map[string]any{
+			"key": key, "value": base64.StdEncoding.EncodeToString(values[key]), "offset": offsets[key],
+		})
+	}
+	answer(w, map[string]any{"items": items, "more": more, "end": end})
+}
+
+func answer(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	answerBody(w, body)
+}
+
+func answerBody(w io.Writer, body any) { _ = json.NewEncoder(w).Encode(body) }
