Pool: tests of the users' heavy loads without a network; a sound endpoint sets objectives

Found by the pattern of unlike speeds: 7 of 30 long jobs were late, as a slow quarter of the fleet raised the learned run time and with it the objective, so that slow endpoints seemed to meet it.

--- a/pool/machine_test.go
+++ b/pool/machine_test.go
@@ -121,6 +121,9 @@
 	w.lateAcrossLives, w.traced = lateAcrossLives, seed == *traceSeed
 	for range 150 {
 		w.disturb()
+		if lateAcrossLives {
+			w.provokeLateOrders()
+		}
 		for range 1 + w.draw.intn(20, "steps") {
 			w.advance()
 		}
@@ -128,6 +131,17 @@
 	return w
 }
 
+// provokeLateOrders makes the known fault likely: many late orders to endpoints
+// that crash.
+func (w *world) provokeLateOrders() {
+	for _, a := range w.agents {
+		a.late = 50
+	}
+	if w.draw.intn(4, "crash") == 0 {
+		w.agents[w.draw.intn(len(w.agents), "agent")].endpoint.crash(w.now, 50*time.Millisecond)
+	}
+}
+
 // failedSeeds lists seeds of TestPromisesSeeds that have failed, each with its
 // cause. Later changes of the model or of a core change what a seed plays.
 var failedSeeds = map[uint64]string{
@@ -143,10 +157,12 @@
 // with the task's next run. Whether the platform lets an order outlive the
 // life that it was sent to is an open question.
 func TestLateOrderToLaterLife(t *testing.T) {
-	w := playSeed(978, true)
-	if w.violation != "" {
-		t.Logf("known fault, see KNOWN-RED.txt: seed 978: %s", w.violation)
-		return
+	const seeds = 2000
+	for seed := uint64(1); seed <= seeds; seed++ {
+		if w := playSeed(seed, true); w.violation != "" {
+			t.Logf("known fault, see KNOWN-RED.txt: seed %d: %s", seed, w.violation)
+			return
+		}
 	}
-	t.Error("met, remove it from KNOWN-RED.txt: seed 978")
+	t.Errorf("met, remove it from KNOWN-RED.txt: no violation in %d seeds", seeds)
 }
--- a/pool/scheduler/agent.go
+++ b/pool/scheduler/agent.go
@@ -171,6 +171,7 @@
 		}
 		a.suspicion = c.suspect(a)
 	}
+	c.fleet.learn(c.roll)
 }
 
 // suspect looks at what an agent's runs have in common: one that takes long
--- a/pool/scheduler/core.go
+++ b/pool/scheduler/core.go
@@ -65,6 +65,7 @@
 
 	agents   map[string]*agent
 	roll     []*agent
+	fleet    fleet
 	sessions map[Session]*agent
 	// demand is what could not be placed, of demandService.
 	demand        message.RunDemand
@@ -108,6 +109,7 @@
 		agents:    map[string]*agent{},
 		sessions:  map[Session]*agent{},
 		ended:     map[string]time.Duration{},
+		fleet:     fleet{sound: 1},
 	}
 }
 
--- a/pool/scheduler/job.go
+++ b/pool/scheduler/job.go
@@ -52,9 +52,10 @@
 	return time.Duration(float64(j.Estimate) * j.queue.bias())
 }
 
-// objective is the time that the job should take.
+// objective is the time that the job should take. It is set by what the work
+// takes on a sound endpoint, so slow ones don't extend it.
 func (j *job) objective() time.Duration {
-	return time.Duration(j.Stretch*float64(j.estimate())) + j.Slack
+	return time.Duration(j.Stretch*j.queue.fleet.sound*float64(j.estimate())) + j.Slack
 }
 
 // latestStart is when a task must start to meet the objective on an average
--- /dev/null
+++ b/pool/scheduler/load_test.go
@@ -0,0 +1,200 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"marjoramlug.example/marjoramlug/verdict"
+)
+
+// The loads of the users' heavy days, in virtual time with fixed seeds. Bounds
+// come from the users' floors: each kind of request keeps at least 0.42 of its
+// worth on the worst of these days, and a calm day at least 0.9.
+
+// desk is the trials desk's usual load on 11 endpoints of 64 cores.
+var desk = map[kind]float64{check: 34, press: 6, label: 100}
+
+func TestUsualLoadIsServedInTime(t *testing.T) {
+	r := newRig(t, 11, 64000)
+	r.load(10*time.Second, desk)
+	r.drain()
+	for _, queue := range []string{"check", "press", "label"} {
+		if share, _ := r.inTime(queue); share < 0.9 {
+			t.Errorf("%s: %.2f in time", queue, share)
+		}
+	}
+}
+
+// TestBurstOfLabels answers the pattern "many users of one kind come at once":
+// the burst's own queue waits and is refused, the others are served.
+func TestBurstOfLabels(t *testing.T) {
+	r := newRig(t, 11, 64000)
+	r.load(4*time.Second, desk)
+	r.load(4*time.Second, map[kind]float64{check: 34, press: 6, label: 260})
+	r.load(2*time.Second, desk)
+	r.drain()
+	for queue, least := range map[string]float64{"check": 0.9, "press": 0.8, "label": 0.42} {
+		if share, refused := r.inTime(queue); share < least {
+			t.Errorf("%s: %.2f in time, %.2f refused, want %.2f", queue, share, refused, least)
+		}
+	}
+}
+
+// TestOverloadOfAllKinds answers the pattern "everything comes at once": each
+// kind keeps its floor.
+func TestOverloadOfAllKinds(t *testing.T) {
+	r := newRig(t, 11, 64000)
+	r.load(8*time.Second, map[kind]float64{check: 55, press: 10, label: 160})
+	r.drain()
+	for _, queue := range []string{"check", "press", "label"} {
+		if share, refused := r.inTime(queue); share < 0.42 {
+			t.Errorf("%s: %.2f in time, %.2f refused", queue, share, refused)
+		}
+	}
+}
+
+// TestRefusalsComeEarly: what can't be served is refused, not run, within a
+// quarter of its objective or as soon as it is known to be late.
+func TestRefusalsComeEarly(t *testing.T) {
+	r := newRig(t, 2, 64000)
+	r.load(5*time.Second, desk)
+	r.drain()
+	refused, prompt := 0, 0
+	for _, j := range r.jobs {
+		if j.answer == nil || j.answer.Verdict != verdict.NotRun {
+			continue
+		}
+		refused++
+		objective := time.Duration(1.6*float64(j.Estimate)) + 60*time.Millisecond
+		if j.answered-j.sent <= objective {
+			prompt++
+		}
+		if j.answer.RetryAfterMillis < 1000 {
+			t.Errorf("%s was refused without a time to come back", j.ID)
+		}
+	}
+	if refused == 0 || float64(prompt) < 0.9*float64(refused) {
+		t.Errorf("%d of %d refusals came within the objective", prompt, refused)
+	}
+}
+
+// TestSlowEndpointsGetTasksThatStillMeetTheirObjective answers the pattern
+// "endpoints of unlike speed": long tasks, which miss their objective on a slow
+// endpoint, go to fast ones while there is room.
+func TestSlowEndpointsGetTasksThatStillMeetTheirObjective(t *testing.T) {
+	r := newRig(t, 8, 64000)
+	for _, a := range r.agents[:2] {
+		a.slow = 1.8
+	}
+	light := map[kind]float64{check: 15, press: 3, label: 45}
+	r.load(5*time.Second, light)
+	before := r.next
+	r.load(10*time.Second, light)
+	r.drain()
+	late, long := 0, 0
+	for w, j := range r.jobs {
+		if w <= before || j.Queue != press.queue {
+			continue
+		}
+		long++
+		if j.answered-j.sent > time.Duration(1.6*float64(j.work))+60*time.Millisecond {
+			late++
+		}
+	}
+	if float64(late) > 0.1*float64(long) {
+		t.Errorf("%d of %d long jobs were late", late, long)
+	}
+}
+
+// TestFailingEndpointIsPaused answers the pattern "an endpoint fails all that it
+// starts": it gets few tasks, and jobs complete elsewhere.
+func TestFailingEndpointIsPaused(t *testing.T) {
+	r := newRig(t, 11, 64000)
+	r.agents[0].fails = true
+	r.load(6*time.Second, desk)
+	r.drain()
+	failed := r.core.Counters().Jobs[JobFailed]
+	if share := float64(failed) / float64(len(r.jobs)); share > 0.01 {
+		t.Errorf("%d of %d jobs failed", failed, len(r.jobs))
+	}
+	if share, _ := r.inTime(check.queue); share < 0.8 {
+		t.Errorf("%.2f of the urgent jobs in time", share)
+	}
+}
+
+// TestAllEndpointsFailingAreStillTried: a service that fails as a whole is not
+// given up.
+func TestAllEndpointsFailingAreStillTried(t *testing.T) {
+	r := newRig(t, 3, 64000)
+	for _, a := range r.agents {
+		a.fails = true
+	}
+	r.load(3*time.Second, map[kind]float64{label: 30})
+	for _, a := range r.agents {
+		a.fails = false
+	}
+	r.load(4*time.Second, map[kind]float64{label: 30})
+	before := r.next
+	r.load(3*time.Second, map[kind]float64{label: 30})
+	r.drain()
+	for w, j := range r.jobs {
+		if w > before && (j.answer == nil || j.answer.Failed) {
+			t.Errorf("%s did not complete after the service had recovered", j.ID)
+		}
+	}
+}
+
+// TestHangingEndpointLosesItsTasks answers the pattern "tasks on some endpoints
+// stand still": they are stopped and run elsewhere.
+func TestHangingEndpointLosesItsTasks(t *testing.T) {
+	r := newRig(t, 4, 64000)
+	r.agents[0].hangs = true
+	r.load(4*time.Second, map[kind]float64{label: 30})
+	r.drain()
+	for _, j := range r.jobs {
+		if j.answer == nil || j.answer.Failed && j.answer.Verdict != verdict.NotRun {
+			t.Errorf("%s did not complete: %+v", j.ID, j.answer)
+		}
+	}
+	if r.core.Counters().Rescued == 0 {
+		t.Error("no run was rescued")
+	}
+}
+
+// TestPoisonFailsAfterItsAttempts answers the pattern "jobs that can never be
+// done": they fail after their attempts.
+func TestPoisonFailsAfterItsAttempts(t *testing.T) {
+	r := newRig(t, 3, 64000)
+	for _, a := range r.agents {
+		a.fails = true
+	}
+	j := r.submit(label)
+	r.drain()
+	if j.answer == nil || j.answer.Reason != verdict.ReasonTaskFailed {
+		t.Fatalf("%+v", j.answer)
+	}
+	if r.runs > j.Tasks*j.Attempts {
+		t.Errorf("%d runs for %d tasks of %d attempts", r.runs, j.Tasks, j.Attempts)
+	}
+}
+
+// TestStalledEntryGivesUpItsJobs: after a pause so long that callers may have
+// submitted elsewhere nothing more is started, and the answers say what is so.
+func TestStalledEntryGivesUpItsJobs(t *testing.T) {
+	r := newRig(t, 1, 6200)
+	r.core.opts.Retransmit = 1300 * time.Millisecond
+	running, waiting := r.submit(press), r.submit(press)
+	waiting.Tasks = 4
+	runs := r.runs
+	r.now += 2 * time.Second
+	r.play(Tick{})
+	if running.answer == nil || running.answer.Verdict != verdict.MayHaveRun {
+		t.Errorf("the running job: %+v", running.answer)
+	}
+	if waiting.answer == nil || waiting.answer.Verdict != verdict.NotRun {
+		t.Errorf("the waiting job: %+v", waiting.answer)
+	}
+	if r.runs != runs {
+		t.Errorf("%d runs were started after the pause", r.runs-runs)
+	}
+}
--- a/pool/scheduler/queue.go
+++ b/pool/scheduler/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -16,7 +17,8 @@
 
 // queue is what is learned of one queue.
 type queue struct {
-	name string
+	name  string
+	fleet *fleet
 	// logBias is the mean logarithm of run time over estimate.
 	logBias float64
 	// load is the offered load in thousandths of a core, decaying since loadAt.
@@ -24,10 +26,32 @@
 	loadAt time.Duration
 }
 
+// fleet is what is learned of all agents together.
+type fleet struct {
+	// sound is the slowness of a sound endpoint: the median. The mean, on which
+	// estimates rest, also counts slow ones.
+	sound float64
+}
+
+// learn finds the sound endpoint again.
+func (f *fleet) learn(agents []*agent) {
+	var slowness []float64
+	for _, a := range agents {
+		if a.isReady() {
+			slowness = append(slowness, a.logSlow)
+		}
+	}
+	f.sound = 1
+	if len(slowness) > 0 {
+		slices.Sort(slowness)
+		f.sound = math.Exp(slowness[len(slowness)/2])
+	}
+}
+
 func (c *Core) queueOf(name string) *queue {
 	q := c.queues[name]
 	if q == nil {
-		q = &queue{name: name, loadAt: c.now}
+		q = &queue{name: name, fleet: &c.fleet, loadAt: c.now}
 		c.queues[name] = q
 	}
 	return q
--- /dev/null
+++ b/pool/worker/worker_test.go
@@ -0,0 +1,273 @@
+package worker
+
+import (
+	"testing"
+	"time"
+
+	"marjoramlug.example/marjoramlug/message"
+)
+
+// rig drives one core by hand.
+type rig struct {
+	t       *testing.T
+	core    *Core
+	now     time.Duration
+	actions []Action
+	seq     uint64
+	stamp   map[Session]int64
+}
+
+func newRig(t *testing.T) *rig {
+	r := &rig{t: t, now: time.Second, stamp: map[Session]int64{}}
+	r.core = New(Options{Lease: time.Second, Silence: 400 * time.Millisecond, FirstFence: 1000})
+	return r
+}
+
+// ready has an endpoint of 10 cores that has answered its first look, and a
+// session with entry 1.
+func ready(t *testing.T) *rig {
+	r := newRig(t)
+	r.play(SessionOpened{Session: 1, Entry: "e1", Incarnation: 1})
+	r.see(1, 1)
+	r.answerLooks(LookTaken)
+	return r
+}
+
+func (r *rig) play(ev Event) {
+	r.actions = r.core.Step(r.now, ev)
+	for _, a := range r.actions {
+		if report, ok := a.(SendReport); ok {
+			r.stamp[report.Session] = report.Report.Stamp
+		}
+	}
+}
+
+func (r *rig) see(born, seq int64) {
+	r.play(EndpointSeen{
+		Name: "i-1", Born: born, Seq: seq, Service: "s", Capacity: message.Resources{MilliCPU: 10000}, ClockMillis: 5000 + seq,
+	})
+}
+
+// orders sends starts of a job from a session.
+func (r *rig) orders(s Session, job string, tasks int, cpu int64) {
+	r.seq++
+	start := message.RunStart{Job: job, Need: message.Resources{MilliCPU: cpu}}
+	for i := range tasks {
+		start.Runs = append(start.Runs, message.TaskRun{Task: i, Number: 1})
+	}
+	r.play(OrdersReceived{Session: s, Orders: &message.RunOrders{Seq: r.seq, Stamp: r.stamp[s], Starts: []message.RunStart{start}}})
+}
+
+func (r *rig) alive(s Session) {
+	r.seq++
+	r.play(OrdersReceived{Session: s, Orders: &message.RunOrders{Seq: r.seq, Stamp: r.stamp[s]}})
+}
+
+// find returns the actions of one type of the last step.
+func find[T Action](r *rig) []T {
+	var found []T
+	for _, a := range r.actions {
+		if a, ok := a.(T); ok {
+			found = append(found, a)
+		}
+	}
+	return found
+}
+
+// answerLooks answers the looks in the last actions.
+func (r *rig) answerLooks(result LookResult, running ...message.RunRef) {
+	for _, look := range find[LookCall](r) {
+		r.now += time.Millisecond
+		r.play(LookAnswered{Call: look.Call, Result: result, Born: 1, Running: running, Clock: Clock{Millis: 5010 + r.now.Milliseconds(), Known: result == LookTaken}})
+	}
+}
+
+func (r *rig) ends() []message.RunEnd {
+	var ends []message.RunEnd
+	for _, report := range find[SendReport](r) {
+		ends = append(ends, report.Report.Ends...)
+	}
+	return ends
+}
+
+func TestCapacityIsTheAgentsLastWord(t *testing.T) {
+	r := ready(t)
+	r.orders(1, "a", 4, 3000)
+	if n := len(find[StartCall](r)); n != 3 {
+		t.Errorf("%d starts into room for 3", n)
+	}
+	ends := r.ends()
+	if len(ends) != 1 || ends[0].Outcome != message.RunRefused || ends[0].Cause != message.CauseRoom {
+		t.Errorf("the fourth ended as %+v", ends)
+	}
+}
+
+func TestStoppedRunKeepsItsRoomUntilItsEndIsListed(t *testing.T) {
+	r := ready(t)
+	r.orders(1, "a", 1, 8000)
+	start := find[StartCall](r)[0]
+	r.play(StartAnswered{Call: start.Call, Run: start.Run, Result: StartTaken, Clock: Clock{6000, true}})
+	r.seq++
+	r.play(OrdersReceived{Session: 1, Orders: &message.RunOrders{Seq: r.seq, Stamp: r.stamp[1], Stops: []message.RunRef{start.Run}}})
+	stop := find[StopCall](r)[0]
+	r.play(StopAnswered{Call: stop.Call, Run: stop.Run, Taken: true, Clock: Clock{6001, true}})
+	r.orders(1, "b", 1, 8000)
+	if len(find[StartCall](r)) != 0 {
+		t.Error("the room was given away before the end was listed")
+	}
+}
+
+func TestOrdersOnAnOldReportAreRefused(t *testing.T) {
+	r := ready(t)
+	stamp := r.stamp[1]
+	for range 6 {
+		r.now += 100 * time.Millisecond
+		r.alive(1)
+		r.play(LookAnswered{Call: r.core.endpoint.looking, Result: LookTaken, Born: 1, Clock: Clock{5010 + r.now.Milliseconds(), true}})
+	}
+	r.stamp[1] = stamp
+	r.orders(1, "a", 1, 1000)
+	if ends := r.ends(); len(ends) != 1 || ends[0].Cause != message.CauseStale {
+		t.Errorf("an order on a report of 600 ms ago ended as %+v", ends)
+	}
+}
+
+// TestSilentEntryLosesItsRuns: its runs are stopped before anything renews
+// their leases, also when the agent itself was held up.
+func TestSilentEntryLosesItsRuns(t *testing.T) {
+	r := ready(t)
+	r.orders(1, "a", 1, 1000)
+	start := find[StartCall](r)[0]
+	r.play(StartAnswered{Call: start.Call, Run: start.Run, Result: StartTaken, Clock: Clock{6000, true}})
+	r.now += 3 * time.Second
+	r.play(Tick{})
+	if len(find[StopCall](r)) == 0 && r.core.Runs() > 0 {
+		t.Errorf("nothing was stopped: %+v", r.actions)
+	}
+	for _, look := range find[LookCall](r) {
+		if look.UntilMillis > 0 {
+			t.Error("a lease was renewed after the silence")
+		}
+	}
+	r.orders(1, "b", 1, 1000)
+	if len(find[StartCall](r)) != 0 {
+		t.Error("an order of a dropped session was taken")
+	}
+}
+
+// TestUnansweredStart: the fence rises, and a look under it tells whether the
+// endpoint had taken the start.
+func TestUnansweredStart(t *testing.T) {
+	for _, taken := range []bool{true, false} {
+		r := ready(t)
+		r.orders(1, "a", 1, 1000)
+		start := find[StartCall](r)[0]
+		r.play(StartAnswered{Call: start.Call, Run: start.Run, Result: StartNoAnswer})
+		looks := find[LookCall](r)
+		if len(looks) != 1 || looks[0].Fence <= start.Fence {
+			t.Fatalf("no look under a higher fence than %d: %+v", start.Fence, looks)
+		}
+		var running []message.RunRef
+		if taken {
+			running = append(running, start.Run)
+		}
+		r.answerLooks(LookTaken, running...)
+		ends := r.ends()
+		if taken && (len(ends) != 0 || r.core.Runs() != 1) {
+			t.Errorf("the run goes on, but ended as %+v", ends)
+		}
+		if !taken && (len(ends) != 1 || ends[0].Outcome != message.RunRefused) {
+			t.Errorf("the run was never started, but ended as %+v", ends)
+		}
+	}
+}
+
+func TestRunsOfAnEarlierProcessAreStoppedFirst(t *testing.T) {
+	r := newRig(t)
+	r.play(SessionOpened{Session: 1, Entry: "e1", Incarnation: 1})
+	r.see(1, 1)
+	left := message.RunRef{Job: "old", Number: 7}
+	look := find[LookCall](r)[0]
+	r.play(LookAnswered{Call: look.Call, Result: LookTaken, Born: 1, Running: []message.RunRef{left}, Clock: Clock{5002, true}})
+	if stops := find[StopCall](r); len(stops) != 1 || stops[0].Run != left {
+		t.Fatalf("stops: %+v", stops)
+	}
+	r.orders(1, "a", 1, 1000)
+	if len(find[StartCall](r)) != 0 {
+		t.Error("a task was started beside a run of an earlier process")
+	}
+}
+
+func TestDelayedAnnouncementsAreIgnored(t *testing.T) {
+	r := ready(t)
+	r.see(2, 1)
+	r.answerLooks(LookTaken)
+	for _, late := range []EndpointSeen{
+		{Name: "i-1", Born: 1, Seq: 9, Service: "other", ClockMillis: 1},
+		{Name: "i-0", Born: 1, Seq: 9, Service: "other", ClockMillis: 1},
+		{Name: "i-1", Born: 2, Seq: 1, Service: "other", ClockMillis: 1},
+	} {
+		r.play(late)
+		if r.core.endpoint.service != "s" || r.core.endpoint.born != 2 {
+			t.Errorf("%+v was taken for news", late)
+		}
+	}
+}
+
+// TestRoomGoesToTheLowestRank answers the pattern "several entries wait for the
+// same room": what becomes free is offered to the one whose job goes first.
+func TestRoomGoesToTheLowestRank(t *testing.T) {
+	r := ready(t)
+	r.play(SessionOpened{Session: 2, Entry: "e2", Incarnation: 1})
+	need := message.Resources{MilliCPU: 6000}
+	for s, rank := range map[Session]float64{1: 5, 2: 1} {
+		r.play(OrdersReceived{Session: s, Orders: &message.RunOrders{
+			Seq: 1, Stamp: r.stamp[s], Demand: &message.RunDemand{Count: 1, Rank: rank, Need: need},
+		}})
+	}
+	// Offers that were made before both were known have passed.
+	r.now += 2 * offerTime
+	r.play(Tick{})
+	r.orders(1, "a", 1, 6000)
+	if ends := r.ends(); len(ends) != 1 || ends[0].Cause != message.CauseRoom {
+		t.Errorf("the higher rank got the room: %+v", r.actions)
+	}
+	r.orders(2, "b", 1, 6000)
+	if len(find[StartCall](r)) != 1 {
+		t.Errorf("the lowest rank was refused: %+v", r.actions)
+	}
+}
+
+func TestLeavingEndpointTakesNothing(t *testing.T) {
+	r := ready(t)
+	r.play(EndpointSeen{
+		Name: "i-1", Born: 1, Seq: 2, Service: "s", Capacity: message.Resources{MilliCPU: 10000}, Leaving: true, ClockMillis: 5100,
+	})
+	r.orders(1, "a", 1, 1000)
+	if ends := r.ends(); len(ends) != 1 || ends[0].Cause != message.CauseLeaving {
+		t.Errorf("ended as %+v", ends)
+	}
+}
+
+func TestEndsAreReportedUntilAcknowledged(t *testing.T) {
+	r := ready(t)
+	r.orders(1, "a", 1, 1000)
+	start := find[StartCall](r)[0]
+	r.play(StartAnswered{Call: start.Call, Run: start.Run, Result: StartTaken, Clock: Clock{6100, true}})
+	r.play(LookAnswered{Call: r.core.endpoint.looking, Result: LookTaken, Born: 1, Clock: Clock{6200, true},
+		Ended: []EndedRun{{Seq: 1, Run: start.Run, Outcome: message.RunDone}}})
+	if ends := r.ends(); len(ends) != 1 {
+		t.Fatalf("ends: %+v", ends)
+	}
+	r.play(SessionClosed{Session: 1})
+	r.play(SessionOpened{Session: 3, Entry: "e1", Incarnation: 1})
+	if ends := r.ends(); len(ends) != 1 || ends[0].Outcome != message.RunDone {
+		t.Errorf("on the next session: %+v", ends)
+	}
+	r.alive(3)
+	r.play(SessionClosed{Session: 3})
+	r.play(SessionOpened{Session: 4, Entry: "e1", Incarnation: 1})
+	if ends := r.ends(); len(ends) != 0 {
+		t.Errorf("after the acknowledgement: %+v", ends)
+	}
+}
