--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -6,6 +6,7 @@
 	"go/parser"
 	"go/token"
 	"io/fs"
+	"path"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -25,7 +26,7 @@
 // isolated lists, for the packages that are a library, what they must not
 // depend on.
 var (
-	libraries = []string{"dispatch", "ownership", "membership", "config"}
+	libraries = []string{"dispatch", "ownership", "membership", "config", "pool/scheduler", "pool/worker"}
 	forbidden = []string{"net", "net/http", "os", "os/exec", "github.com/quic-go/quic-go", "github.com/dghubble/sling"}
 )
 
@@ -59,7 +60,7 @@
 
 func TestLibrariesDoNoInputOrOutput(t *testing.T) {
 	for _, file := range sourceFiles(t) {
-		if !slices.Contains(libraries, topFolder(file.path)) {
+		if !slices.Contains(libraries, topFolder(file.path)) && !slices.Contains(libraries, path.Dir(file.path)) {
 			continue
 		}
 		for _, imported := range file.imports {
--- /dev/null
+++ b/internal/layers/platform_test.go
@@ -0,0 +1,41 @@
+package layers
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// platformWords are names of the users' platform that mean nothing elsewhere.
+var platformWords = []string{
+	"run-start", "run-stop", "log-append", "log-read", "log-newest", "keyed.op", "task_spec", "fencing_token",
+	"seen_upto", "until_ms", "free_capacity", "latency_slo_ms", "est_duration_ms", "clock_ms",
+	"best_effort", "X-Deadline-Ms", "X-Expect-Instance", "/instances/", "/readiness",
+}
+
+// platformFolders may know the platform's names.
+var platformFolders = []string{"platform", "standin"}
+
+func TestOnlyTheAdapterKnowsThePlatform(t *testing.T) {
+	checked := 0
+	for _, source := range sourceFiles(t) {
+		top := topFolder(source.path)
+		if top == platformFolders[0] || top == platformFolders[1] {
+			continue
+		}
+		text, err := os.ReadFile(filepath.Join("..", "..", source.path))
+		if err != nil {
+			t.Fatal(err)
+		}
+		checked++
+		for _, word := range platformWords {
+			if strings.Contains(string(text), word) {
+				t.Errorf("%s: %s belongs into platform/", source.path, word)
+			}
+		}
+	}
+	if checked == 0 {
+		t.Fatal("no file was checked")
+	}
+}
