The last task of a late job keeps its place

Change: a late job that lacks at most a fifth of its tasks keeps its band, jobs that have begun go first within a queue, and jobs too late to be of use last. Ruled out: keeping all begun jobs in their band; half a late job costs as much room as it is worth.

--- a/pool/scheduler/admission.go
+++ b/pool/scheduler/admission.go
@@ -9,6 +9,9 @@
 	// lateShare is how many times its objective a late answer may take and still
 	// be of use to the caller.
 	lateShare = 3
+	// lateWorth is how many times more an answer in time is worth than a late one,
+	// by the users' sheets.
+	lateWorth = 5
 	// minRetryAfter and maxRetryAfter bound what refused callers are told.
 	minRetryAfter = time.Second
 	maxRetryAfter = 5 * time.Second
--- a/pool/scheduler/load_test.go
+++ b/pool/scheduler/load_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"marjoramlug.example/marjoramlug/message"
 	"marjoramlug.example/marjoramlug/verdict"
 )
 
@@ -178,6 +179,56 @@
 	}
 }
 
+// TestLastTaskOfALateJobKeepsItsPlace answers the pattern "one task of a job is
+// turned away when the endpoints are full": with the job late, the one task that
+// it lacks still goes before new jobs, and the job completes.
+func TestLastTaskOfALateJobKeepsItsPlace(t *testing.T) {
+	r := newRig(t, 2, 31000)
+	r.load(2*time.Second, map[kind]float64{label: 90})
+	j := r.submit(kind{queue: "check", urgent: true, tasks: 5, work: 60 * time.Millisecond})
+	for j.answer == nil && r.core.jobs[j.ID].done < 4 {
+		r.load(step, map[kind]float64{label: 90})
+		for ref := range r.agents[0].running {
+			if ref.Job == j.ID && ref.Task == 4 && ref.Number == 1 {
+				r.agents[0].end(ref, message.RunLost, r.now+2*time.Second)
+			}
+		}
+	}
+	r.load(time.Second, map[kind]float64{label: 90})
+	if j.answer == nil || j.answer.Failed {
+		t.Errorf("after a second: %+v", j.answer)
+	}
+}
+
+func TestBands(t *testing.T) {
+	for _, c := range []struct {
+		name                 string
+		late, urgent         bool
+		tasks, waiting, runs int
+		age                  time.Duration
+		want                 int
+	}{
+		{"urgent", false, true, 8, 8, 0, 0, bandUrgent},
+		{"in time", false, false, 8, 8, 0, 0, bandInTime},
+		{"late", true, true, 8, 8, 0, 200 * time.Millisecond, bandLate},
+		{"late, half started", true, true, 8, 4, 4, 200 * time.Millisecond, bandLate},
+		{"late, one of five missing", true, true, 5, 1, 4, 200 * time.Millisecond, bandUrgent},
+		{"late, one of five missing, not urgent", true, false, 5, 1, 4, 200 * time.Millisecond, bandInTime},
+		{"too late", true, true, 5, 1, 4, 2 * time.Second, bandUseless},
+	} {
+		core := New(Options{})
+		core.now = time.Minute
+		j := &job{
+			Job:   &Job{Urgent: c.urgent, Estimate: 60 * time.Millisecond, Stretch: 1.6, Slack: 60 * time.Millisecond},
+			queue: core.queueOf("q"), tasks: make([]task, c.tasks), waiting: c.waiting, runs: c.runs, late: c.late,
+			received: core.now - c.age,
+		}
+		if got := core.band(j); got != c.want {
+			t.Errorf("%s: band %d, want %d", c.name, got, c.want)
+		}
+	}
+}
+
 // TestStalledEntryGivesUpItsJobs: after a pause so long that callers may have
 // submitted elsewhere nothing more is started, and the answers say what is so.
 func TestStalledEntryGivesUpItsJobs(t *testing.T) {
--- a/pool/scheduler/place.go
+++ b/pool/scheduler/place.go
@@ -25,25 +25,41 @@
 	rateTime = time.Second
 )
 
-// band orders jobs before all else: urgent ones, those that can still meet
-// their objective, and the rest.
-func (j *job) band() int {
+// The bands order jobs before all else.
+const (
+	bandUrgent = iota
+	bandInTime
+	bandLate
+	bandUseless
+)
+
+// band puts urgent jobs first, then those that can still meet their objective,
+// then late ones and those whose answer comes too late to be of use. A late job
+// that lacks only a few tasks keeps its place: little work makes all of it
+// useful.
+func (c *Core) band(j *job) int {
+	useful := c.now+j.estimate() < j.received+lateShare*j.objective()
 	switch {
-	case j.late:
-		return 2
+	case j.late && !useful:
+		return bandUseless
+	case j.late && !j.lacksLittle():
+		return bandLate
 	case j.Urgent:
-		return 0
+		return bandUrgent
 	default:
-		return 1
+		return bandInTime
 	}
 }
 
+// lacksLittle reports whether at most one task in lateWorth waits.
+func (j *job) lacksLittle() bool { return j.runs > 0 && j.waiting*lateWorth <= len(j.tasks) }
+
 // rank orders bands and, within one, queues by their offered load: when room
 // is short, the queue that asks for least is served whole before a larger one
 // gets more (max-min fairness between queues).
 func (c *Core) rank(j *job) float64 {
 	const bandWidth = 1e9
-	return float64(j.band())*bandWidth + math.Round(j.queue.offered(c.now)/1000)
+	return float64(c.band(j))*bandWidth + math.Round(j.queue.offered(c.now)/1000)
 }
 
 // candidates returns the jobs that wait for starts, in the order of their turn.
@@ -57,11 +73,23 @@
 		}
 	}
 	slices.SortStableFunc(list, func(a, b *job) int {
-		return cmp.Or(cmp.Compare(ranks[a], ranks[b]), cmp.Compare(a.received, b.received))
+		return cmp.Or(cmp.Compare(ranks[a], ranks[b]), compareStarted(a, b), cmp.Compare(a.received, b.received))
 	})
 	return list
 }
 
+// compareStarted puts jobs that have begun first: without their last task the
+// work of the others is lost.
+func compareStarted(a, b *job) int {
+	switch {
+	case a.runs > 0 && b.runs == 0:
+		return -1
+	case a.runs == 0 && b.runs > 0:
+		return 1
+	}
+	return 0
+}
+
 // place starts what fits.
 func (c *Core) place() {
 	c.demand, c.demandService = message.RunDemand{}, ""
