--- a/pool/scheduler/load_test.go
+++ b/pool/scheduler/load_test.go
@@ -4,7 +4,6 @@
 	"testing"
 	"time"
 
-	"marjoramlug.example/marjoramlug/message"
 	"marjoramlug.example/marjoramlug/verdict"
 )
 
@@ -179,27 +178,9 @@
 	}
 }
 
-// TestLastTaskOfALateJobKeepsItsPlace answers the pattern "one task of a job is
-// turned away when the endpoints are full": with the job late, the one task that
-// it lacks still goes before new jobs, and the job completes.
-func TestLastTaskOfALateJobKeepsItsPlace(t *testing.T) {
-	r := newRig(t, 2, 31000)
-	r.load(2*time.Second, map[kind]float64{label: 90})
-	j := r.submit(kind{queue: "check", urgent: true, tasks: 5, work: 60 * time.Millisecond})
-	for j.answer == nil && r.core.jobs[j.ID].done < 4 {
-		r.load(step, map[kind]float64{label: 90})
-		for ref := range r.agents[0].running {
-			if ref.Job == j.ID && ref.Task == 4 && ref.Number == 1 {
-				r.agents[0].end(ref, message.RunLost, r.now+2*time.Second)
-			}
-		}
-	}
-	r.load(time.Second, map[kind]float64{label: 90})
-	if j.answer == nil || j.answer.Failed {
-		t.Errorf("after a second: %+v", j.answer)
-	}
-}
-
+// TestBands answers the pattern "one task of a job is turned away when the
+// endpoints are full": with the job late, the one task that it lacks still goes
+// before new jobs.
 func TestBands(t *testing.T) {
 	for _, c := range []struct {
 		name                 string
