Agents tell the pace of their runs

Change: agents report the median of how many times longer than estimated their present runs take, from the progress that endpoints list; it bounds what an entry has learned, for 300 ms.

--- a/message/run.go
+++ b/message/run.go
@@ -15,6 +15,8 @@
 	Payload string    `cbor:"2,keyasint,omitempty"`
 	Need    Resources `cbor:"3,keyasint"`
 	Runs    []TaskRun `cbor:"4,keyasint"`
+	// EstimateMillis is the run time that the caller expects; 0 says nothing.
+	EstimateMillis int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // TaskRun is a task's index within its job and the number of its run.
@@ -152,6 +154,9 @@
 	// Complete, in a Sync, says that such a run was never started. It is not set
 	// when the agent has given up the entry meanwhile and forgotten ends.
 	Complete bool `cbor:"8,keyasint,omitempty"`
+	// Pace is how many times longer than estimated the present runs take, by their
+	// progress; 0 when too few tell.
+	Pace float64 `cbor:"9,keyasint,omitempty"`
 }
 
 // EndedJobs tells other entries which pooled jobs have completed, so that a
--- a/pool/endpoint_model_test.go
+++ b/pool/endpoint_model_test.go
@@ -222,7 +222,7 @@
 	}
 	answer.Ended = append(answer.Ended, e.ended...)
 	for ref := range e.running.All() {
-		answer.Running = append(answer.Running, ref)
+		answer.Running = append(answer.Running, worker.AliveRun{Run: ref, Percent: 50})
 	}
 	return answer
 }
--- a/pool/scheduler/agent.go
+++ b/pool/scheduler/agent.go
@@ -19,6 +19,11 @@
 	slownessWeight = 0.1
 	// maxLogRatio bounds what one task says of an agent's speed.
 	maxLogRatio = 2.5
+	// paceTime is how long a pace holds after it was told.
+	paceTime = 300 * time.Millisecond
+	// paceDoubt is the factor by which a pace may differ from what was learned
+	// before it overrules it: estimates of single jobs are off by 40 %.
+	paceDoubt = 1.6
 	// suspectRuns is the least number of runs from which slowness is concluded.
 	suspectRuns = 3
 	// failuresToPause is the number of failed jobs in a row after which an agent
@@ -56,6 +61,9 @@
 	owed bool
 
 	runs kernel.OrderedMap[message.RunRef, *run]
+	// pace is what the agent told of its present runs, at paceAt.
+	pace   float64
+	paceAt time.Duration
 	// suspicion is how much longer than expected the present runs take, at least 1.
 	suspicion float64
 
@@ -86,7 +94,8 @@
 	// reach.
 	deadBy  time.Duration
 	started time.Duration
-	// expected is the run time that was predicted for this agent.
+	// expected is the run time that was learned of this agent. Its pace does not
+	// count: where runs stand still they would be expected to.
 	expected time.Duration
 	stopped  bool
 	// rescued says that it was stopped for lack of progress.
@@ -108,6 +117,16 @@
 
 func (a *agent) slowness() float64 { return math.Exp(a.logSlow) }
 
+// runTime predicts the run time of a job's task at an agent: what was learned,
+// within what the progress of the agent's present runs allows.
+func (c *Core) runTime(j *job, a *agent) float64 {
+	factor := j.queue.bias() * a.slowness() * max(1, a.suspicion)
+	if a.pace > 0 && c.now-a.paceAt < paceTime {
+		factor = min(max(factor, a.pace/paceDoubt), a.pace*paceDoubt)
+	}
+	return float64(j.Estimate) * factor
+}
+
 func (c *Core) connect(ev AgentConnected) {
 	a := c.agents[ev.Agent]
 	if a == nil {
@@ -212,6 +231,7 @@
 	a.lastHeard = c.now
 	a.stamp = report.Stamp
 	a.free = report.Free
+	a.pace, a.paceAt = report.Pace, c.now
 	a.unseen = slices.DeleteFunc(a.unseen, func(u unseenOrder) bool { return u.seq <= report.Orders })
 	if report.Endpoint != nil {
 		c.takeEndpoint(a, report.Endpoint)
--- a/pool/scheduler/load_test.go
+++ b/pool/scheduler/load_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"marjoramlug.example/marjoramlug/message"
 	"marjoramlug.example/marjoramlug/verdict"
 )
 
@@ -106,6 +107,25 @@
 	}
 }
 
+// TestPaceKeepsLongTasksOffAnEndpointThatTurnsSlow answers the pattern
+// "endpoints turn slow": what an agent tells of its runs counts before any of
+// them has ended, and ceases to count when it is not told any more.
+func TestPaceKeepsLongTasksOffAnEndpointThatTurnsSlow(t *testing.T) {
+	r := newRig(t, 3, 64000)
+	r.report(0, &message.RunReport{Pace: 6})
+	r.submit(press)
+	if n := len(r.agents[0].running); n != 0 {
+		t.Errorf("%d long tasks went to the slow endpoint", n)
+	}
+	r.now += 2 * paceTime
+	for range 6 {
+		r.submit(press)
+	}
+	if len(r.agents[0].running) == 0 {
+		t.Error("the endpoint gets nothing after its pace is no longer told")
+	}
+}
+
 // TestFailingEndpointIsPaused answers the pattern "an endpoint fails all that it
 // starts": it gets few tasks, and jobs complete elsewhere.
 func TestFailingEndpointIsPaused(t *testing.T) {
--- a/pool/scheduler/place.go
+++ b/pool/scheduler/place.go
@@ -154,14 +154,13 @@
 
 func (c *Core) pickAmong(j *job, t *task, paused bool) *agent {
 	left := float64(j.received+j.objective()-overhead-c.now) * fitMargin
-	estimate := float64(j.estimate())
 	var best *agent
 	bestMeets, bestSpeed := false, 0.0
 	for _, a := range c.roll {
 		if !c.eligible(a, j, paused) || slices.Contains(t.avoid, a) || !j.Need.Fits(a.room()) || c.crowded(j, a) {
 			continue
 		}
-		took := estimate * a.slowness() * max(1, a.suspicion)
+		took := c.runTime(j, a)
 		meets := took <= left
 		better := best == nil || meets && !bestMeets
 		if !better && meets == bestMeets {
@@ -250,7 +249,9 @@
 	a.runs.Set(ref, r)
 	order := a.starts[j.ID]
 	if order == nil {
-		order = &message.RunStart{Job: j.ID, Payload: j.Payload, Need: j.Need}
+		order = &message.RunStart{
+			Job: j.ID, Payload: j.Payload, Need: j.Need, EstimateMillis: j.Estimate.Milliseconds(),
+		}
 		a.starts[j.ID] = order
 		a.startOrder = append(a.startOrder, j.ID)
 	}
--- a/pool/worker/event.go
+++ b/pool/worker/event.go
@@ -122,10 +122,17 @@
 	// Born tells which life of the endpoint answered, like EndpointSeen.Born; 0
 	// when the answer did not say.
 	Born    int64
-	Running []message.RunRef
+	Running []AliveRun
 	Ended   []EndedRun
 }
 
+// AliveRun is a run that the endpoint lists as running.
+type AliveRun struct {
+	Run message.RunRef
+	// Percent is the part of its work that is done.
+	Percent float64
+}
+
 // EndedRun is an end that the endpoint lists.
 type EndedRun struct {
 	// Seq numbers the ends of one life of the endpoint from 1.
--- a/pool/worker/look.go
+++ b/pool/worker/look.go
@@ -107,9 +107,9 @@
 		e.foreign.Delete(ended.Run)
 	}
 	alive := make(map[message.RunRef]bool, len(ev.Running))
-	for _, ref := range ev.Running {
-		alive[ref] = true
-		c.meet(ref)
+	for _, listed := range ev.Running {
+		alive[listed.Run] = true
+		c.meet(listed)
 	}
 	for ref := range e.foreign.All() {
 		if !alive[ref] {
@@ -124,9 +124,10 @@
 }
 
 // meet takes note of a run that is alive.
-func (c *Core) meet(ref message.RunRef) {
-	e := &c.endpoint
+func (c *Core) meet(listed AliveRun) {
+	e, ref := &c.endpoint, listed.Run
 	if r := c.runs.Get(ref); r != nil {
+		r.percent, r.percentAt = listed.Percent, c.now
 		if r.state == runUnclear || r.state == runInNextLife {
 			r.state = runAlive
 		}
--- a/pool/worker/owner.go
+++ b/pool/worker/owner.go
@@ -31,6 +31,7 @@
 	// told is the endpoint's version that the entry was told.
 	told uint64
 	free message.Resources
+	pace float64
 	// ends holds what the entry has not acknowledged; sent counts those that have
 	// been reported on this session.
 	ends []pendingEnd
@@ -154,6 +155,7 @@
 
 // report sends what has changed, ends at once and the rest at intervals.
 func (c *Core) report() {
+	pace := c.pace()
 	for _, o := range c.owners.All() {
 		if o.session == 0 {
 			continue
@@ -164,17 +166,18 @@
 		switch {
 		case !o.synced, o.sent < len(o.ends), o.told != c.endpoint.version:
 		case free != o.free && (useful || pause >= reportPause):
+		case paceChanged(pace, o.pace) && pause >= reportPause:
 		case pause >= Heartbeat:
 		default:
 			continue
 		}
-		c.sendReport(o, free)
+		c.sendReport(o, free, pace)
 	}
 }
 
-func (c *Core) sendReport(o *owner, free message.Resources) {
+func (c *Core) sendReport(o *owner, free message.Resources, pace float64) {
 	o.stamp = max(o.stamp+1, int64(c.now/time.Microsecond))
-	r := &message.RunReport{Stamp: o.stamp, Orders: o.orders, Free: free}
+	r := &message.RunReport{Stamp: o.stamp, Orders: o.orders, Free: free, Pace: pace}
 	for i := o.sent; i < len(o.ends); i++ {
 		o.ends[i].stamp = o.stamp
 		r.Ends = append(r.Ends, o.ends[i].end)
@@ -192,6 +195,6 @@
 		r.Endpoint = c.describe()
 		o.told = c.endpoint.version
 	}
-	o.free, o.lastSent = free, c.now
+	o.free, o.pace, o.lastSent = free, pace, c.now
 	c.do(SendReport{Session: o.session, Report: r})
 }
--- a/pool/worker/run.go
+++ b/pool/worker/run.go
@@ -31,6 +31,11 @@
 	ordered time.Duration
 	// taken is when the endpoint's answer to the start came.
 	taken time.Duration
+	// estimate is the run time that the caller expects, percent the progress that
+	// the endpoint has told at percentAt.
+	estimate  time.Duration
+	percent   float64
+	percentAt time.Duration
 	// attempts counts the starts sent; fence is that of the last one, and adoption
 	// the life of the endpoint that it was meant for.
 	attempts int
@@ -57,7 +62,8 @@
 			c.refuse(o, ref, cause)
 			continue
 		}
-		r := &run{ref: ref, key: o.key, owner: o, need: order.Need, payload: order.Payload, ordered: c.now}
+		r := &run{ref: ref, key: o.key, owner: o, need: order.Need, payload: order.Payload, ordered: c.now,
+			estimate: time.Duration(order.EstimateMillis) * time.Millisecond}
 		c.runs.Set(ref, r)
 		c.used = c.used.Plus(r.need)
 		o.spend(r.need)
--- a/pool/worker/worker_test.go
+++ b/pool/worker/worker_test.go
@@ -75,7 +75,7 @@
 }
 
 // answerLooks answers the looks in the last actions.
-func (r *rig) answerLooks(result LookResult, running ...message.RunRef) {
+func (r *rig) answerLooks(result LookResult, running ...AliveRun) {
 	for _, look := range find[LookCall](r) {
 		r.now += time.Millisecond
 		r.play(LookAnswered{Call: look.Call, Result: result, Born: 1, Running: running, Clock: Clock{Millis: 5010 + r.now.Milliseconds(), Known: result == LookTaken}})
@@ -167,9 +167,9 @@
 		if len(looks) != 1 || looks[0].Fence <= start.Fence {
 			t.Fatalf("no look under a higher fence than %d: %+v", start.Fence, looks)
 		}
-		var running []message.RunRef
+		var running []AliveRun
 		if taken {
-			running = append(running, start.Run)
+			running = append(running, AliveRun{Run: start.Run})
 		}
 		r.answerLooks(LookTaken, running...)
 		ends := r.ends()
@@ -188,7 +188,7 @@
 	r.see(1, 1)
 	left := message.RunRef{Job: "old", Number: 7}
 	look := find[LookCall](r)[0]
-	r.play(LookAnswered{Call: look.Call, Result: LookTaken, Born: 1, Running: []message.RunRef{left}, Clock: Clock{5002, true}})
+	r.play(LookAnswered{Call: look.Call, Result: LookTaken, Born: 1, Running: []AliveRun{{Run: left}}, Clock: Clock{5002, true}})
 	if stops := find[StopCall](r); len(stops) != 1 || stops[0].Run != left {
 		t.Fatalf("stops: %+v", stops)
 	}
@@ -271,3 +271,26 @@
 		t.Errorf("after the acknowledgement: %+v", ends)
 	}
 }
+
+// TestPaceShowsASlowEndpoint answers the pattern "endpoints turn slow": the
+// progress of runs tells it while none is overdue.
+func TestPaceShowsASlowEndpoint(t *testing.T) {
+	r := ready(t)
+	r.seq++
+	start := message.RunStart{Job: "a", Need: message.Resources{MilliCPU: 1000}, EstimateMillis: 200}
+	for i := range 4 {
+		start.Runs = append(start.Runs, message.TaskRun{Task: i, Number: 1})
+	}
+	r.play(OrdersReceived{Session: 1, Orders: &message.RunOrders{Seq: r.seq, Stamp: r.stamp[1], Starts: []message.RunStart{start}}})
+	var alive []AliveRun
+	for _, call := range find[StartCall](r) {
+		alive = append(alive, AliveRun{Run: call.Run, Percent: 5})
+		r.play(StartAnswered{Call: call.Call, Run: call.Run, Result: StartTaken, Clock: Clock{6000, true}})
+	}
+	r.now += 50 * time.Millisecond
+	r.play(LookAnswered{Call: r.core.endpoint.looking, Result: LookTaken, Born: 1, Running: alive, Clock: Clock{6050, true}})
+	reports := find[SendReport](r)
+	if len(reports) != 1 || reports[0].Report.Pace < 4.5 || reports[0].Report.Pace > 5.5 {
+		t.Errorf("5 %% of 200 ms after 50 ms: reports %+v", reports)
+	}
+}
