--- a/pool/worker/look.go
+++ b/pool/worker/look.go
@@ -9,6 +9,9 @@
 const (
 	// lookPause spaces looks after one that failed.
 	lookPause = 50 * time.Millisecond
+	// failuresToRenew is the number of looks in a row without an answer after which
+	// all connections count as silent: one alone is more often an unanswered call.
+	failuresToRenew = 2
 	// renewLimit is the time without an answer after which looks renew no lease:
 	// the endpoint's clock is no longer known well enough.
 	renewLimit = 2 * time.Second
@@ -42,7 +45,7 @@
 	e := &c.endpoint
 	call := LookCall{
 		Call: c.nextCall(), Endpoint: e.name, Fence: e.fence, SeenUpTo: e.seen,
-		WaitMillis: wait.Milliseconds(), Fresh: e.failures > 0,
+		WaitMillis: wait.Milliseconds(), Fresh: e.failures >= failuresToRenew,
 	}
 	if c.runs.Len() > 0 && c.now-e.answered < renewLimit {
 		call.UntilMillis = e.renew(c.now, c.opts.Lease)
