--- a/pool/node/entry.go
+++ b/pool/node/entry.go
@@ -70,7 +70,7 @@
 		},
 		core: scheduler.New(scheduler.Options{
 			Silence: s.Timing.Silence, Lease: s.Timing.Lease, StopTime: s.Timing.StopTime,
-			Retransmit: s.Timing.Retransmit, MaxWaiting: s.MaxWaiting, Random: rand.IntN,
+			Retransmit: s.Timing.Retransmit, MaxWaiting: s.MaxWaiting,
 		}),
 		events:  make(chan entryEvent, eventQueue),
 		ctx:     ctx,
@@ -224,7 +224,7 @@
 	id := e.sessions.add(c)
 	peer := c.Peer()
 	e.post(entryEvent{event: scheduler.AgentConnected{
-		Session: scheduler.Session(id), Agent: peer.Name, Incarnation: peer.Incarnation, Zone: peer.Zone,
+		Session: scheduler.Session(id), Agent: peer.Name, Incarnation: peer.Incarnation,
 	}})
 }
 
--- a/pool/scheduler/agent.go
+++ b/pool/scheduler/agent.go
@@ -39,7 +39,6 @@
 type agent struct {
 	name        string
 	incarnation uint64
-	zone        string
 	session     Session
 	lastHeard   time.Duration
 	lastSent    time.Duration
@@ -138,7 +137,7 @@
 		c.do(Disconnect{Session: a.session})
 		c.disconnect(a.session, "connected again")
 	}
-	a.zone, a.session, a.lastHeard, a.lastSent = ev.Zone, ev.Session, c.now, 0
+	a.session, a.lastHeard, a.lastSent = ev.Session, c.now, 0
 	if a.incarnation != ev.Incarnation {
 		a.incarnation = ev.Incarnation
 		a.endpoint = nil
@@ -253,7 +252,8 @@
 	if a.endpoint == nil || a.endpoint.Ready != e.Ready || a.endpoint.Name != e.Name {
 		c.do(Note{What: "endpoint", Subject: a.name, Detail: readiness(e)})
 	}
-	if a.endpoint != nil && a.endpoint.Name != e.Name {
+	if a.endpoint != nil && (a.endpoint.Name != e.Name || a.endpoint.Life != e.Life) {
+		// The next life may be of another kind.
 		a.logSlow, a.failures, a.pause, a.paused = 0, 0, 0, 0
 	}
 	a.endpoint = e
--- a/pool/scheduler/core.go
+++ b/pool/scheduler/core.go
@@ -24,8 +24,6 @@
 	Retransmit time.Duration
 	// MaxWaiting bounds the tasks that wait; more are refused.
 	MaxWaiting int
-	// Random draws a number in [0, n) among equals; tests fix it.
-	Random func(n int) int
 }
 
 const (
@@ -97,9 +95,6 @@
 
 // New returns a core without jobs and agents.
 func New(opts Options) *Core {
-	if opts.Random == nil {
-		opts.Random = func(int) int { return 0 }
-	}
 	return &Core{
 		opts:      opts,
 		jobs:      map[string]*job{},
--- a/pool/scheduler/event.go
+++ b/pool/scheduler/event.go
@@ -65,7 +65,6 @@
 	Session     Session
 	Agent       string
 	Incarnation uint64
-	Zone        string
 }
 
 // AgentDisconnected ends a session.
--- a/pool/worker/endpoint.go
+++ b/pool/worker/endpoint.go
@@ -17,10 +17,8 @@
 	labels   []string
 	leaving  bool
 	present  bool
-	// version rises with each change that entries are told of, life with each new
-	// endpoint or takeover.
+	// version rises with each change that entries are told of.
 	version uint64
-	life    uint64
 	// adoption numbers the lives of endpoints that this process has known.
 	adoption uint64
 
@@ -66,7 +64,7 @@
 func (c *Core) describe() *message.PoolEndpoint {
 	e := &c.endpoint
 	return &message.PoolEndpoint{
-		Name: e.name, Life: e.life, Service: e.service, Capacity: e.capacity, Labels: e.labels, Ready: c.ready(),
+		Name: e.name, Life: e.adoption, Service: e.service, Capacity: e.capacity, Labels: e.labels, Ready: c.ready(),
 	}
 }
 
@@ -121,7 +119,7 @@
 	old := c.endpoint
 	c.endpoint = endpoint{
 		name: ev.Name, born: ev.Born, present: true,
-		version: old.version + 1, life: old.life + 1, adoption: old.adoption + 1,
+		version: old.version + 1, adoption: old.adoption + 1,
 		clock: ev.ClockMillis, clockAt: c.now, answered: c.now,
 		fence: max(old.fence+1, c.fenceNow()), wantResync: true, jump: firstJump,
 		// A start that was meant for the earlier life may have brought a lease.
--- a/pool/worker/look.go
+++ b/pool/worker/look.go
@@ -122,7 +122,6 @@
 	c.missing(ev.Call, alive)
 	if !e.settled && e.foreign.Len() == 0 {
 		e.settled = true
-		e.life++
 	}
 }
 
--- a/settings/pool.go
+++ b/settings/pool.go
@@ -62,10 +62,9 @@
 type Budget struct {
 	// MemoryMB is the memory in megabytes.
 	MemoryMB int `yaml:"memory_mb" validate:"required,gt=0"`
-	// Descriptors is the number of descriptors for sockets and files.
+	// Descriptors is the number of descriptors for sockets and files; 0 sets no
+	// bound.
 	Descriptors int `yaml:"descriptors,omitempty" validate:"gte=0"`
-	// Share is the part of a core.
-	Share float64 `yaml:"share,omitempty" validate:"gte=0"`
 }
 
 // ApplyDefaults fills unset fields.
