--- a/command/platform.go
+++ b/command/platform.go
@@ -28,6 +28,11 @@
 	Settings string `arg:"" env:"MARJORAMLUG_BOOT" help:"Settings file with a pool_entry section."`
 }
 
+// Help shows examples below the usage.
+func (platformEntryCommand) Help() string {
+	return "Example:\n  MARJORAMLUG_BOOT=entry.yaml marjoramlug platform entry"
+}
+
 // Run runs an entry until a signal asks it to stop.
 func (c platformEntryCommand) Run() error {
 	return runOnPlatform(c.Settings, "entry", func(file *settings.File, env platform.Environment) (platform.Process, error) {
@@ -42,6 +47,11 @@
 	Settings string `arg:"" env:"MARJORAMLUG_BOOT" help:"Settings file with a pool_agent section."`
 }
 
+// Help shows examples below the usage.
+func (platformAgentCommand) Help() string {
+	return "Example:\n  MARJORAMLUG_BOOT=agent.yaml marjoramlug platform agent"
+}
+
 // Run runs an agent until a signal asks it to stop.
 func (c platformAgentCommand) Run() error {
 	return runOnPlatform(c.Settings, "agent", func(file *settings.File, env platform.Environment) (platform.Process, error) {
