--- a/message/run.go
+++ b/message/run.go
@@ -37,7 +37,7 @@
 }
 
 // RunOrders is what an entry tells an agent; without content it is the entry's
-// sign of life.
+// heartbeat.
 type RunOrders struct {
 	// Seq numbers the messages of a session from 1.
 	Seq uint64 `cbor:"1,keyasint"`
@@ -136,7 +136,7 @@
 }
 
 // RunReport is what an agent tells an entry; without content it is the agent's
-// sign of life.
+// heartbeat.
 type RunReport struct {
 	// Stamp rises with each report. The entry repeats the newest in its orders.
 	Stamp int64 `cbor:"1,keyasint"`
--- a/pool/scheduler/agent.go
+++ b/pool/scheduler/agent.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// limboMargin covers clocks and the way of the last messages.
-	limboMargin = 50 * time.Millisecond
-	// clockSlack is how much longer a lease may last on a slow clock: 2 %.
+	// endMargin covers clocks and the way of the last messages.
+	endMargin = 50 * time.Millisecond
+	// clockSlack divides a lease: on a clock that is 2 % slow it lasts a fiftieth
+	// longer.
 	clockSlack = 50
 	// slownessWeight is the weight of one task in what is learned of an agent's
 	// speed: about the last ten tasks count.
@@ -177,7 +178,7 @@
 func (c *Core) runsEndWithin() time.Duration {
 	silence := c.opts.Silence + c.opts.StopTime
 	lease := c.opts.Lease + c.opts.Lease/clockSlack + c.opts.StopTime
-	return max(silence, lease) + limboMargin
+	return max(silence, lease) + endMargin
 }
 
 // checkAgents ends silent sessions and the runs that can't be alive any more.
@@ -327,7 +328,7 @@
 	c.do(Note{What: "agent paused", Subject: a.name, Job: job, Detail: a.pause.String()})
 }
 
-// flush sends what was decided, and signs of life.
+// flush sends what was decided, and heartbeats.
 func (c *Core) flush() {
 	for _, a := range c.roll {
 		if a.session == 0 {
