--- a/command/command.go
+++ b/command/command.go
@@ -8,6 +8,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"marjoramlug.example/marjoramlug/platform"
 	_ "marjoramlug.example/marjoramlug/plugin/standard" // the plug-ins of the binary
 )
 
@@ -60,6 +61,7 @@
 		kong.Name("marjoramlug"),
 		kong.Description("Dispatcher for sub-second tasks. Exit codes: 0 done, 1 failed, 2 wrong usage or settings."),
 		kong.UsageOnError(),
+		kong.Vars{"platform_settings": platform.SettingsVariable},
 	)
 }
 
--- a/command/platform.go
+++ b/command/platform.go
@@ -25,12 +25,12 @@
 }
 
 type platformEntryCommand struct {
-	Settings string `arg:"" env:"MARJORAMLUG_BOOT" help:"Settings file with a pool_entry section."`
+	Settings string `arg:"" env:"${platform_settings}" help:"Settings file with a pool_entry section."`
 }
 
 // Help shows examples below the usage.
 func (platformEntryCommand) Help() string {
-	return "Example:\n  MARJORAMLUG_BOOT=entry.yaml marjoramlug platform entry"
+	return "Example:\n  marjoramlug platform entry entry.yaml"
 }
 
 // Run runs an entry until a signal asks it to stop.
@@ -44,12 +44,12 @@
 }
 
 type platformAgentCommand struct {
-	Settings string `arg:"" env:"MARJORAMLUG_BOOT" help:"Settings file with a pool_agent section."`
+	Settings string `arg:"" env:"${platform_settings}" help:"Settings file with a pool_agent section."`
 }
 
 // Help shows examples below the usage.
 func (platformAgentCommand) Help() string {
-	return "Example:\n  MARJORAMLUG_BOOT=agent.yaml marjoramlug platform agent"
+	return "Example:\n  marjoramlug platform agent agent.yaml"
 }
 
 // Run runs an agent until a signal asks it to stop.
@@ -74,7 +74,7 @@
 	if err != nil {
 		return err
 	}
-	events := telemetry.NewEventLog(os.Stdout, role, platform.LogLevel(file.Log))
+	events := telemetry.NewEventLog(os.Stdout, role, logLevel(file.Log))
 	process, err := start(file, platform.Environment{Network: network, Metrics: metrics, Log: events, Version: Version})
 	if err != nil {
 		return err
--- a/command/signal.go
+++ b/command/signal.go
@@ -47,13 +47,18 @@
 	return signal.NotifyContext(context.Background(), os.Interrupt)
 }
 
-// newLogger writes structured lines to standard error.
-func newLogger(level settings.LogLevel) *log.Logger {
+// logLevel translates the level of a settings file, by default info.
+func logLevel(level settings.LogLevel) log.Level {
 	if level == "" {
-		level = "info"
+		return log.InfoLevel
 	}
+	return log.ParseLevel(string(level))
+}
+
+// newLogger writes structured lines to standard error.
+func newLogger(level settings.LogLevel) *log.Logger {
 	return &log.Logger{
-		Level:      log.ParseLevel(string(level)),
+		Level:      logLevel(level),
 		TimeFormat: time.RFC3339Nano,
 		Writer:     &log.IOWriter{Writer: os.Stderr},
 	}
--- a/message/run.go
+++ b/message/run.go
@@ -185,8 +185,4 @@
 type EntryState struct {
 	// Waiting counts, by queue, the jobs of which no task has started.
 	Waiting map[string]int `cbor:"1,keyasint,omitempty"`
-	// Revision and Configuration are the newest configuration that the sender
-	// holds; Configuration is left out when the receiver has it.
-	Revision      uint64 `cbor:"2,keyasint,omitempty"`
-	Configuration []byte `cbor:"3,keyasint,omitempty"`
 }
--- a/pool/node/agent.go
+++ b/pool/node/agent.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"marjoramlug.example/marjoramlug/message"
@@ -49,7 +48,6 @@
 	drained  chan struct{}
 	ctx      context.Context
 	cancel   context.CancelFunc
-	wg       sync.WaitGroup
 }
 
 // agentEvent is an event of the core; done, when set, is closed after it.
@@ -206,9 +204,7 @@
 
 // call carries out a call to the endpoint in a goroutine of its own.
 func (a *Agent) call(timeout time.Duration, do func(context.Context) worker.Event) {
-	a.wg.Add(1)
 	go func() {
-		defer a.wg.Done()
 		ctx, cancel := context.WithTimeout(a.ctx, timeout)
 		defer cancel()
 		a.post(do(ctx))
@@ -249,9 +245,13 @@
 	m.Set("endpoint.resyncs", counters.Resyncs)
 	m.Set("room.offers", counters.Offers)
 	publishEnds(m, counters.Ended[:], counters.Refused[:])
-	if n := a.opts.Log.TakeOmitted(); n > 0 {
+	publishOmitted(m, a.opts.Log)
+}
+
+func publishOmitted(m *telemetry.Registry, l *telemetry.EventLog) {
+	if n := l.TakeOmitted(); n > 0 {
 		m.Add("log.omitted", n)
-		a.opts.Log.Lifecycle().Str("event", "lines left out").Int64("count", n).Msg("")
+		l.Lifecycle().Str("event", "lines left out").Int64("count", n).Msg("")
 	}
 }
 
--- a/pool/node/dialer.go
+++ b/pool/node/dialer.go
@@ -34,7 +34,6 @@
 	// that the last attempt did not reach.
 	order   []string
 	failing map[string]bool
-	wg      sync.WaitGroup
 	links   map[string]context.CancelFunc
 	ended   map[transport.Conn]chan struct{}
 }
@@ -60,7 +59,6 @@
 		}
 		linkCtx, cancel := context.WithCancel(ctx)
 		d.links[address] = cancel
-		d.wg.Add(1)
 		go d.keep(linkCtx, address)
 	}
 	for address, cancel := range d.links {
@@ -97,7 +95,6 @@
 
 // keep connects to an address again and again until ctx ends.
 func (d *dialer) keep(ctx context.Context, address string) {
-	defer d.wg.Done()
 	pause := firstRedial
 	for ctx.Err() == nil {
 		if !d.isWanted(address) {
--- a/pool/node/entry.go
+++ b/pool/node/entry.go
@@ -97,6 +97,7 @@
 	defer ticker.Stop()
 	publish := time.NewTicker(publishInterval)
 	defer publish.Stop()
+	go e.peers.gossip()
 	for {
 		select {
 		case <-e.ctx.Done():
@@ -191,7 +192,8 @@
 	return n
 }
 
-// Stop refuses new jobs from now on.
+// Stop refuses new jobs from now on and answers all open ones; what runs of
+// them is stopped.
 func (e *Entry) Stop() { e.post(entryEvent{event: scheduler.StopRequested{}}) }
 
 // ask lets a question read the core and returns when it has, or with ctx.
@@ -218,7 +220,6 @@
 // Connected implements transport.Handler.
 func (e *Entry) Connected(c transport.Conn) {
 	if c.Peer().Role != message.RoleAgent {
-		e.peers.connected(c)
 		return
 	}
 	id := e.sessions.add(c)
@@ -328,14 +329,5 @@
 	m.Set("entry.stalls", counters.Stalls)
 	m.Set("jobs.open", int64(e.core.Busy()))
 	publishEnds(m, counters.Ended[:], counters.Refused[:])
-	if n := e.opts.Log.TakeOmitted(); n > 0 {
-		m.Add("log.omitted", n)
-		e.opts.Log.Lifecycle().Str("event", "lines left out").Int64("count", n).Msg("")
-	}
-}
-
-// Interrupt answers all open jobs; what runs of them is stopped.
-func (e *Entry) Interrupt() {
-	e.post(entryEvent{event: scheduler.Interrupted{Cause: "this entry stops"}})
-	e.ask(e.ctx, func(*scheduler.Core) {})
+	publishOmitted(m, e.opts.Log)
 }
--- a/pool/node/peers.go
+++ b/pool/node/peers.go
@@ -34,7 +34,6 @@
 	fresh   []string
 	request uint64
 	pending map[uint64]chan *message.JobFound
-	running bool
 }
 
 func newPeers(e *Entry) *peers {
@@ -74,17 +73,9 @@
 		}
 	}
 	p.dialer.set(p.entry.ctx, others)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.running {
-		p.running = true
-		go p.gossip()
-	}
 }
 
-// connected and disconnected concern connections that other entries opened.
-func (p *peers) connected(transport.Conn) {}
-
+// disconnected concerns connections that other entries opened.
 func (p *peers) disconnected(c transport.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pool/scheduler/agent.go
+++ b/pool/scheduler/agent.go
@@ -73,8 +73,6 @@
 	lastBad  string
 	pause    time.Duration
 	paused   time.Duration
-	// probing says that one task is under way after a pause.
-	probing bool
 }
 
 type unseenOrder struct {
@@ -188,20 +186,26 @@
 			c.do(Disconnect{Session: a.session})
 			c.disconnect(a.session, "silent")
 		}
+		c.endUnreachable(a)
 		a.suspicion = c.suspect(a)
 	}
 	c.fleet.learn(c.roll)
 }
 
+// endUnreachable ends the runs of an agent out of reach whose time is up.
+func (c *Core) endUnreachable(a *agent) {
+	for _, r := range a.runs.All() {
+		if r.deadBy > 0 && c.now >= r.deadBy {
+			c.endRun(r, message.RunEnd{Run: r.ref, Outcome: message.RunLost})
+		}
+	}
+}
+
 // suspect looks at what an agent's runs have in common: one that takes long
 // may have had a wrong estimate, several hardly.
 func (c *Core) suspect(a *agent) float64 {
 	sum, n := 0.0, 0
 	for _, r := range a.runs.All() {
-		if r.deadBy > 0 && c.now >= r.deadBy {
-			c.endRun(r, message.RunEnd{Run: r.ref, Outcome: message.RunLost})
-			continue
-		}
 		if r.expected > 0 {
 			n++
 			sum += math.Log(max(1, float64(c.now-r.started)/float64(r.expected)))
@@ -310,7 +314,7 @@
 // succeeded and failedAt keep the agent's record. Failures of one job count
 // once, as the job itself may be at fault.
 func (a *agent) succeeded() {
-	a.failures, a.pause, a.paused, a.probing, a.lastBad = 0, 0, 0, false, ""
+	a.failures, a.pause, a.paused, a.lastBad = 0, 0, 0, ""
 }
 
 func (c *Core) failedAt(a *agent, job string) {
@@ -324,7 +328,6 @@
 	}
 	a.pause = min(max(2*a.pause, firstPause), maxPause)
 	a.paused = c.now + a.pause
-	a.probing = false
 	c.do(Note{What: "agent paused", Subject: a.name, Job: job, Detail: a.pause.String()})
 }
 
--- a/pool/scheduler/core.go
+++ b/pool/scheduler/core.go
@@ -155,8 +155,7 @@
 		c.takeReport(ev.Session, ev.Report)
 	case StopRequested:
 		c.stopping = true
-	case Interrupted:
-		c.interrupt(ev.Cause)
+		c.interrupt("this entry stops")
 	case Tick:
 	}
 }
--- a/pool/scheduler/event.go
+++ b/pool/scheduler/event.go
@@ -76,12 +76,9 @@
 	Report  *message.RunReport
 }
 
-// StopRequested begins a planned stop: new jobs are refused.
+// StopRequested ends the entry: open jobs are given up, new ones refused.
 type StopRequested struct{}
 
-// Interrupted gives up all jobs.
-type Interrupted struct{ Cause string }
-
 // Tick lets time pass.
 type Tick struct{}
 
@@ -93,7 +90,6 @@
 func (AgentDisconnected) event()  {}
 func (AgentReported) event()      {}
 func (StopRequested) event()      {}
-func (Interrupted) event()        {}
 func (Tick) event()               {}
 
 // Action is an output of the core, to be carried out in order.
--- a/pool/worker/endpoint.go
+++ b/pool/worker/endpoint.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"slices"
 	"time"
 
 	"marjoramlug.example/marjoramlug/kernel"
@@ -101,15 +102,7 @@
 }
 
 func sameEndpoint(e *endpoint, ev EndpointSeen) bool {
-	if e.service != ev.Service || e.capacity != ev.Capacity || e.leaving != ev.Leaving || len(e.labels) != len(ev.Labels) {
-		return false
-	}
-	for i := range e.labels {
-		if e.labels[i] != ev.Labels[i] {
-			return false
-		}
-	}
-	return true
+	return e.service == ev.Service && e.capacity == ev.Capacity && e.leaving == ev.Leaving && slices.Equal(e.labels, ev.Labels)
 }
 
 // adopt begins with a life of an endpoint that this process does not know. Of
