Scheduler: one exponential mean and one measure of work

A queue's offered load and the entry's rate of starts were the same mean written twice, and the work of tasks was spelled out in four places, the time for it in two.

--- a/pool/scheduler/admission.go
+++ b/pool/scheduler/admission.go
@@ -54,10 +54,15 @@
 			continue
 		}
 		if r := c.rank(other); r < rank || r == rank && other.received <= j.received {
-			work += float64(other.Need.MilliCPU) * float64(other.waiting) * other.estimate().Seconds()
+			work += other.work(other.waiting)
 		}
 	}
-	return time.Duration(work / max(c.startRate(), minRate) * float64(time.Second))
+	return c.timeFor(work)
+}
+
+// timeFor is how long this entry takes to start work at its present rate.
+func (c *Core) timeFor(work float64) time.Duration {
+	return time.Duration(work / max(c.started.rate(c.now), minRate) * float64(time.Second))
 }
 
 // retryAfter is when a refused caller may hope for room.
@@ -65,9 +70,8 @@
 	work := 0.0
 	for _, j := range c.order {
 		if !j.over {
-			work += float64(j.Need.MilliCPU) * float64(j.waiting) * j.estimate().Seconds()
+			work += j.work(j.waiting)
 		}
 	}
-	wait := time.Duration(work / max(c.startRate(), minRate) * float64(time.Second))
-	return min(max(wait, minRetryAfter), maxRetryAfter)
+	return min(max(c.timeFor(work), minRetryAfter), maxRetryAfter)
 }
--- a/pool/scheduler/core.go
+++ b/pool/scheduler/core.go
@@ -68,10 +68,8 @@
 	// demand is what could not be placed, of demandService.
 	demand        message.RunDemand
 	demandService string
-	// rate is what this entry starts, in thousandths of a core, an exponential
-	// mean since rateAt.
-	rate   float64
-	rateAt time.Duration
+	// started is the load that this entry starts.
+	started flow
 
 	ended      map[string]time.Duration
 	endedOrder []string
@@ -105,6 +103,7 @@
 		sessions:  map[Session]*agent{},
 		ended:     map[string]time.Duration{},
 		fleet:     fleet{sound: 1},
+		started:   flow{span: rateTime},
 	}
 }
 
--- a/pool/scheduler/job.go
+++ b/pool/scheduler/job.go
@@ -52,6 +52,12 @@
 	return time.Duration(float64(j.Estimate) * j.queue.bias())
 }
 
+// work is what a number of the job's tasks take, in thousandths of a core times
+// seconds.
+func (j *job) work(tasks int) float64 {
+	return float64(j.Need.MilliCPU) * float64(tasks) * j.estimate().Seconds()
+}
+
 // objective is the time that the job should take. It is set by what the work
 // takes on a sound endpoint, so slow ones don't extend it.
 func (j *job) objective() time.Duration {
@@ -78,7 +84,7 @@
 	}
 	j := &job{Job: in, queue: c.queueOf(in.Queue), received: c.now, waiters: []Waiter{w}, waiting: in.Tasks}
 	j.tasks = make([]task, in.Tasks)
-	j.queue.arrived(c.now, j)
+	j.queue.offered.add(c.now, j.work(in.Tasks))
 	j.reviewAt = c.now + j.objective()/refusalShare
 	c.jobs[in.ID] = j
 	c.waiters[w] = j
--- a/pool/scheduler/place.go
+++ b/pool/scheduler/place.go
@@ -59,7 +59,7 @@
 // gets more (max-min fairness between queues).
 func (c *Core) rank(j *job) float64 {
 	const bandWidth = 1e9
-	return float64(c.band(j))*bandWidth + math.Round(j.queue.offered(c.now)/1000)
+	return float64(c.band(j))*bandWidth + math.Round(j.queue.offered.rate(c.now)/1000)
 }
 
 // candidates returns the jobs that wait for starts, in the order of their turn.
@@ -264,16 +264,5 @@
 	j.waiting--
 	c.waiting--
 	c.counters.Runs++
-	c.countWork(j)
-}
-
-// countWork adds a started task to the rate of starts.
-func (c *Core) countWork(j *job) {
-	work := float64(j.Need.MilliCPU) * j.estimate().Seconds()
-	c.rate = c.startRate() + work/rateTime.Seconds()
-	c.rateAt = c.now
-}
-
-func (c *Core) startRate() float64 {
-	return c.rate * math.Exp(-(c.now-c.rateAt).Seconds()/rateTime.Seconds())
+	c.started.add(c.now, j.work(1))
 }
--- a/pool/scheduler/queue.go
+++ b/pool/scheduler/queue.go
@@ -17,13 +17,11 @@
 
 // queue is what is learned of one queue.
 type queue struct {
-	name  string
 	fleet *fleet
 	// logBias is the mean logarithm of run time over estimate.
 	logBias float64
-	// load is the offered load in thousandths of a core, decaying since loadAt.
-	load   float64
-	loadAt time.Duration
+	// offered is the load that the queue's callers submit.
+	offered flow
 }
 
 // fleet is what is learned of all agents together.
@@ -51,7 +49,7 @@
 func (c *Core) queueOf(name string) *queue {
 	q := c.queues[name]
 	if q == nil {
-		q = &queue{name: name, fleet: &c.fleet, loadAt: c.now}
+		q = &queue{fleet: &c.fleet, offered: flow{span: loadTime, at: c.now}}
 		c.queues[name] = q
 	}
 	return q
@@ -60,15 +58,3 @@
 func (q *queue) bias() float64 { return math.Exp(q.logBias) }
 
 func (q *queue) learn(ratio float64) { q.logBias += biasWeight * (math.Log(ratio) - q.logBias) }
-
-// arrived adds a job to the queue's offered load.
-func (q *queue) arrived(now time.Duration, j *job) {
-	work := float64(j.Need.MilliCPU) * float64(len(j.tasks)) * j.estimate().Seconds()
-	q.load = q.offered(now) + work/loadTime.Seconds()
-	q.loadAt = now
-}
-
-// offered is the queue's offered load, an exponential mean.
-func (q *queue) offered(now time.Duration) float64 {
-	return q.load * math.Exp(-(now-q.loadAt).Seconds()/loadTime.Seconds())
-}
