A task that stood still at every endpoint is tried again

Three places kept a task off an agent; two of them let it go to all agents again once none was left, the one for stuck runs did not, so that such a task waited until its deadline. One function serves all three. This changes behaviour in that case only; TestTaskStuckEverywhereIsTriedAgain failed before.

--- a/pool/scheduler/load_test.go
+++ b/pool/scheduler/load_test.go
@@ -181,6 +181,26 @@
 	}
 }
 
+// TestTaskStuckEverywhereIsTriedAgain: a task that has stood still at every
+// endpoint is not given up while its caller waits.
+func TestTaskStuckEverywhereIsTriedAgain(t *testing.T) {
+	r := newRig(t, 2, 64000)
+	for _, a := range r.agents {
+		a.hangs = true
+	}
+	j := r.submit(label)
+	for r.core.Counters().Rescued < int64(len(r.agents)*j.Tasks) && r.now < j.Deadline {
+		r.advance()
+	}
+	for _, a := range r.agents {
+		a.hangs = false
+	}
+	r.drain()
+	if j.answer == nil || j.answer.Failed {
+		t.Errorf("after the endpoints had recovered: %+v", j.answer)
+	}
+}
+
 // TestPoisonFailsAfterItsAttempts answers the pattern "jobs that can never be
 // done": they fail after their attempts.
 func TestPoisonFailsAfterItsAttempts(t *testing.T) {
--- a/pool/scheduler/run.go
+++ b/pool/scheduler/run.go
@@ -83,7 +83,7 @@
 		}
 	case message.RunStopped:
 		if r.rescued {
-			t.avoid = append(t.avoid, r.agent)
+			c.avoid(t, r.agent)
 		}
 	case message.RunLost:
 		j.lost++
@@ -110,10 +110,7 @@
 func (c *Core) taskFailed(j *job, t *task, r *run) bool {
 	j.failed++
 	t.failures++
-	t.avoid = append(t.avoid, r.agent)
-	if len(t.avoid) >= len(c.roll) {
-		t.avoid = nil
-	}
+	c.avoid(t, r.agent)
 	c.failedAt(r.agent, j.ID)
 	if t.failures < j.Attempts {
 		return false
@@ -124,15 +121,24 @@
 	return true
 }
 
+// avoid keeps a task off an agent and reports whether another is left; when
+// none is, the task may go to all again.
+func (c *Core) avoid(t *task, a *agent) bool {
+	t.avoid = append(t.avoid, a)
+	if len(t.avoid) < len(c.roll) {
+		return true
+	}
+	t.avoid = nil
+	return false
+}
+
 func (c *Core) refused(t *task, r *run, cause message.RunCause) {
 	switch cause {
 	case message.CauseNumber:
 		t.next += numberJump
 	case message.CauseOverloaded, message.CauseInvalid:
-		t.avoid = append(t.avoid, r.agent)
 		c.failedAt(r.agent, r.job.ID)
-		if len(t.avoid) >= len(c.roll) {
-			t.avoid = nil
+		if !c.avoid(t, r.agent) {
 			t.notBefore = c.now + refusedPause
 		}
 	case message.CauseUnreachable, message.CauseLeaving:
