Agents stop runs that make no progress

Cause: a run that stands still was found by its entry after four times its estimate and 150 ms, so a calculation of 0.9 s was lost 3.75 s after it had stopped. The endpoint tells the progress of each run with every look; a run that does not move on for a quarter of its estimate (60 ms at least), by the endpoint's own clock, is stopped by the agent and started elsewhere.

Ruled out: the time at the agent as measure, as answers may wait before a process that is held up reads them; a fixed time for all runs, as one of eight times the usual length moves a percent in 100 ms.

The model has endpoints that hang now, and both stand-ins of endpoints tell progress instead of a constant.

--- a/message/run.go
+++ b/message/run.go
@@ -62,12 +62,14 @@
 	RunStopped
 	// RunLost means that it ended with its lease or its endpoint.
 	RunLost
+	// RunStalled means that its agent stopped it, as it made no progress.
+	RunStalled
 	// RunRefused means that it was not started and never will be.
 	RunRefused
 )
 
 var runOutcomeNames = [...]string{
-	RunDone: "done", RunFailed: "failed", RunStopped: "stopped", RunLost: "lost", RunRefused: "refused",
+	RunDone: "done", RunFailed: "failed", RunStopped: "stopped", RunLost: "lost", RunStalled: "stalled", RunRefused: "refused",
 }
 
 // String returns the outcome's name.
--- a/pool/endpoint_model_test.go
+++ b/pool/endpoint_model_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"time"
 
 	"marjoramlug.example/marjoramlug/kernel"
@@ -26,14 +27,19 @@
 	ends    int64
 	highest map[[2]string]int64
 	up      bool
+	// stuck is the share of runs, in percent, that stand still.
+	stuck int
 	// downUntil is when a crashed endpoint starts again.
 	downUntil time.Duration
 }
 
 type modelRun struct {
-	ref     message.RunRef
-	cpu     int64
-	doneAt  time.Duration
+	ref    message.RunRef
+	cpu    int64
+	began  time.Duration
+	doneAt time.Duration
+	// stuckAt is the percent at which it stands still; 0 lets it come to its end.
+	stuckAt float64
 	stopAt  time.Duration
 	outcome message.RunOutcome
 }
@@ -94,12 +100,21 @@
 			e.end(r, message.RunLost)
 		case r.stopAt > 0 && w.now >= r.stopAt:
 			e.end(r, message.RunStopped)
-		case w.now >= r.doneAt:
+		case w.now >= r.doneAt && r.stuckAt == 0:
 			e.end(r, r.outcome)
 		}
 	}
 }
 
+// percent is the progress that the endpoint tells of a run.
+func (r *modelRun) percent(now time.Duration) float64 {
+	done := math.Floor(100 * float64(now-r.began) / float64(r.doneAt-r.began))
+	if r.stuckAt > 0 {
+		done = min(done, r.stuckAt)
+	}
+	return min(done, 99)
+}
+
 func (e *modelEndpoint) extend(now time.Duration, until int64) {
 	e.until = max(e.until, min(until, e.clock(now)+lease.Milliseconds()))
 }
@@ -183,7 +198,11 @@
 		outcome = message.RunFailed
 	}
 	// The payload tells the model what the task takes.
-	e.running.Set(c.Run, &modelRun{ref: c.Run, cpu: 6000, doneAt: w.now + took, outcome: outcome})
+	r := &modelRun{ref: c.Run, cpu: 6000, began: w.now, doneAt: w.now + took, outcome: outcome}
+	if e.stuck > 0 && w.draw.intn(100, "stuck") < e.stuck {
+		r.stuckAt = 1 + float64(w.draw.intn(99, "stuck at"))
+	}
+	e.running.Set(c.Run, r)
 	w.startedBy(c.Run)
 	return worker.StartTaken
 }
@@ -221,8 +240,8 @@
 		e.ended = e.ended[1:]
 	}
 	answer.Ended = append(answer.Ended, e.ended...)
-	for ref := range e.running.All() {
-		answer.Running = append(answer.Running, worker.AliveRun{Run: ref, Percent: 50})
+	for ref, r := range e.running.All() {
+		answer.Running = append(answer.Running, worker.AliveRun{Run: ref, Percent: r.percent(w.now)})
 	}
 	return answer
 }
--- a/pool/machine_test.go
+++ b/pool/machine_test.go
@@ -26,7 +26,7 @@
 	e := w.draw.intn(len(w.entries), "entry")
 	a := w.draw.intn(len(w.agents), "agent")
 	span := time.Duration(w.draw.intn(300, "span")) * 10 * time.Millisecond
-	fault := w.draw.intn(14, "fault")
+	fault := w.draw.intn(15, "fault")
 	w.tell("fault %d entry %d agent %d for %v", fault, e, a, span)
 	switch fault {
 	case 0:
@@ -54,6 +54,8 @@
 				l.cutUntil, l.oneWay = w.now+span, false
 			}
 		}
+	case 9:
+		w.agents[a].endpoint.stuck = w.draw.intn(50, "stuck share")
 	default:
 		w.submit(e, 1+w.draw.intn(5, "tasks"), 6000, 100*time.Millisecond)
 	}
--- a/pool/scheduler/load_test.go
+++ b/pool/scheduler/load_test.go
@@ -181,6 +181,32 @@
 	}
 }
 
+// TestStalledTaskGoesElsewhere: a task that an agent has stopped for lack of
+// progress runs at another one.
+func TestStalledTaskGoesElsewhere(t *testing.T) {
+	r := newRig(t, 2, 64000)
+	r.agents[0].hangs, r.agents[1].hangs = true, true
+	j := r.submit(kind{queue: label.queue, tasks: 1, work: label.work})
+	for i, a := range r.agents {
+		for ref := range a.running {
+			other := r.agents[1-i]
+			other.hangs = false
+			a.end(ref, message.RunStalled, r.now)
+			r.report(i, &message.RunReport{})
+			if len(other.running) != 1 {
+				t.Errorf("the other agent runs %d tasks", len(other.running))
+			}
+		}
+		if j.answer != nil {
+			t.Fatalf("answered at once: %+v", j.answer)
+		}
+	}
+	r.drain()
+	if j.answer == nil || j.answer.Failed {
+		t.Errorf("%+v", j.answer)
+	}
+}
+
 // TestTaskStuckEverywhereIsTriedAgain: a task that has stood still at every
 // endpoint is not given up while its caller waits.
 func TestTaskStuckEverywhereIsTriedAgain(t *testing.T) {
--- a/pool/scheduler/run.go
+++ b/pool/scheduler/run.go
@@ -85,6 +85,10 @@
 		if r.rescued {
 			c.avoid(t, r.agent)
 		}
+	case message.RunStalled:
+		c.counters.Rescued++
+		c.avoid(t, r.agent)
+		c.failedAt(r.agent, j.ID)
 	case message.RunLost:
 		j.lost++
 	case message.RunRefused:
--- a/pool/worker/look.go
+++ b/pool/worker/look.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"fmt"
 	"time"
 
 	"marjoramlug.example/marjoramlug/message"
@@ -112,7 +113,7 @@
 	alive := make(map[message.RunRef]bool, len(ev.Running))
 	for _, listed := range ev.Running {
 		alive[listed.Run] = true
-		c.meet(listed)
+		c.meet(listed, ev.Clock)
 	}
 	for ref := range e.foreign.All() {
 		if !alive[ref] {
@@ -126,9 +127,14 @@
 }
 
 // meet takes note of a run that is alive.
-func (c *Core) meet(listed AliveRun) {
+func (c *Core) meet(listed AliveRun, clock Clock) {
 	e, ref := &c.endpoint, listed.Run
 	if r := c.runs.Get(ref); r != nil {
+		if !r.stopWanted && r.hasStalled(listed.Percent, clock) {
+			r.stalled = true
+			c.do(Note{What: "run stalled", Run: ref, Subject: e.name, Detail: fmt.Sprintf("at %v %%", listed.Percent)})
+			c.stop(r)
+		}
 		r.percent, r.percentAt = listed.Percent, c.now
 		if r.state == runUnclear || r.state == runInNextLife {
 			r.state = runAlive
--- a/pool/worker/run.go
+++ b/pool/worker/run.go
@@ -36,6 +36,12 @@
 	estimate  time.Duration
 	percent   float64
 	percentAt time.Duration
+	// progressClock is the endpoint's clock at the first look that told the present
+	// percent, once progressSeen.
+	progressClock int64
+	progressSeen  bool
+	// stalled says that it is being stopped for lack of progress.
+	stalled bool
 	// attempts counts the starts sent; fence is that of the last one, and adoption
 	// the life of the endpoint that it was meant for.
 	attempts int
@@ -179,6 +185,9 @@
 
 // end records the end of a run and owes the entry a report.
 func (c *Core) end(r *run, outcome message.RunOutcome) {
+	if outcome == message.RunStopped && r.stalled {
+		outcome = message.RunStalled
+	}
 	c.forget(r)
 	c.counters.Ended[outcome]++
 	if r.owner != nil {
--- a/pool/worker/worker_test.go
+++ b/pool/worker/worker_test.go
@@ -294,3 +294,51 @@
 		t.Errorf("5 %% of 200 ms after 50 ms: reports %+v", reports)
 	}
 }
+
+// TestRunThatStandsStillIsStopped answers the pattern "tasks on some endpoints
+// stand still": a run that makes no progress is stopped while it is not yet
+// overdue, one that is only slow goes on.
+func TestRunThatStandsStillIsStopped(t *testing.T) {
+	const estimate = 800 * time.Millisecond
+	for _, c := range []struct {
+		name string
+		// perLook is the progress between looks, in percent.
+		perLook float64
+		want    bool
+	}{
+		{"stands still", 0, true},
+		{"eight times slower", 1.5, false},
+		{"usual", 12, false},
+	} {
+		r := ready(t)
+		r.seq++
+		r.play(OrdersReceived{Session: 1, Orders: &message.RunOrders{Seq: r.seq, Stamp: r.stamp[1], Starts: []message.RunStart{{
+			Job: "a", Need: message.Resources{MilliCPU: 1000}, EstimateMillis: estimate.Milliseconds(), Runs: []message.TaskRun{{Number: 1}},
+		}}}})
+		start := find[StartCall](r)[0]
+		began := r.now
+		r.play(StartAnswered{Call: start.Call, Run: start.Run, Result: StartTaken, Clock: Clock{6000, true}})
+		stopped := false
+		for i := 0; r.now < began+estimate/2 && !stopped; i++ {
+			r.now += 100 * time.Millisecond
+			r.alive(1)
+			r.play(LookAnswered{
+				Call: r.core.endpoint.looking, Result: LookTaken, Born: 1,
+				Running: []AliveRun{{Run: start.Run, Percent: 30 + float64(i)*c.perLook}},
+				Clock:   Clock{6000 + (r.now - began).Milliseconds(), true},
+			})
+			stopped = len(find[StopCall](r)) > 0
+		}
+		if stopped != c.want {
+			t.Errorf("%s: stopped %v after %v", c.name, stopped, r.now-began)
+		}
+		if !stopped {
+			continue
+		}
+		r.play(LookAnswered{Call: r.core.endpoint.looking, Result: LookTaken, Born: 1, Clock: Clock{7000, true},
+			Ended: []EndedRun{{Seq: 1, Run: start.Run, Outcome: message.RunStopped}}})
+		if ends := r.ends(); len(ends) != 1 || ends[0].Outcome != message.RunStalled {
+			t.Errorf("%s: ended as %+v", c.name, ends)
+		}
+	}
+}
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -60,11 +60,16 @@
 }
 
 type run struct {
-	key  runKey
-	end  *time.Timer
-	stop bool
+	key   runKey
+	began time.Time
+	took  time.Duration
+	end   *time.Timer
+	stop  bool
 }
 
+// percent is the progress of a run, in whole percent below 100.
+func (r *run) percent() int { return min(99, int(100*time.Since(r.began)/max(r.took, 1))) }
+
 type endRow struct {
 	seq int64
 	key runKey
@@ -234,7 +239,7 @@
 	}
 	r.starts[c.Task]++
 	took, how := r.opts.Work(c.Task)
-	r.running[key] = &run{key: key, end: time.AfterFunc(took, func() { r.finish(key, how) })}
+	r.running[key] = &run{key: key, began: time.Now(), took: took, end: time.AfterFunc(took, func() { r.finish(key, how) })}
 	if r.onStart != nil {
 		r.onStart(c.Task)
 	}
@@ -324,8 +329,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	running, ended := [][]any{}, [][]any{}
-	for key := range r.running {
-		running = append(running, []any{key.task, key.number, "", 50})
+	for key, run := range r.running {
+		running = append(running, []any{key.task, key.number, "", run.percent()})
 	}
 	for _, e := range r.ended {
 		ended = append(ended, []any{e.seq, e.key.task, e.key.number, e.how, ""})
