--- a/soak/record_test.go
+++ b/soak/record_test.go
@@ -86,6 +86,12 @@
 	}
 }
 
+func (r *record) isDone(task string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.done[task]
+}
+
 // gaveUp checks an answer that says that a task has failed as often as it may.
 func (r *record) gaveUp(job string, tasks, attempts int) {
 	r.mu.Lock()
