--- a/pool/scheduler/core.go
+++ b/pool/scheduler/core.go
@@ -39,6 +39,10 @@
 	// endedLimit bounds the completed jobs that are remembered: a minute at 1,600
 	// jobs a second.
 	endedLimit = 100_000
+	// expireInterval spaces looks at what only time brings about. They read all
+	// agents and jobs and would cost most of a step; a twentieth of the shortest
+	// usual task is soon enough.
+	expireInterval = 5 * time.Millisecond
 )
 
 // Core decides for the jobs of one entry. It is not safe for concurrent use.
@@ -50,6 +54,7 @@
 type Core struct {
 	opts    Options
 	now     time.Duration
+	expired time.Duration
 	actions []Action
 
 	jobs    map[string]*job
@@ -159,8 +164,12 @@
 	}
 }
 
-// expire handles what only time brings about.
+// expire handles what only time brings about, at intervals.
 func (c *Core) expire() {
+	if c.now-c.expired < expireInterval {
+		return
+	}
+	c.expired = c.now
 	c.checkAgents()
 	for _, j := range c.order {
 		if j.over {
