--- a/pool/scheduler/agent.go
+++ b/pool/scheduler/agent.go
@@ -12,6 +12,9 @@
 const (
 	// endMargin covers clocks and the way of the last messages.
 	endMargin = 50 * time.Millisecond
+	// ackPause is how long an acknowledgement waits for orders to travel with: most
+	// do under load. The agent repeats unacknowledged ends only on a new session.
+	ackPause = 40 * time.Millisecond
 	// clockSlack divides a lease: on a clock that is 2 % slow it lasts a fiftieth
 	// longer.
 	clockSlack = 50
@@ -338,7 +341,7 @@
 			continue
 		}
 		pause := c.now - a.lastSent
-		due := len(a.startOrder) > 0 || len(a.stops) > 0 || a.owed || pause >= Heartbeat ||
+		due := len(a.startOrder) > 0 || len(a.stops) > 0 || pause >= Heartbeat || a.owed && pause >= ackPause ||
 			pause >= demandPause && (a.demand.Count > 0) != (c.demandFor(a).Count > 0)
 		if !due {
 			continue
