Demands of entries rank by a queue's share of their load

Cause: an agent offers room to the demand of the lowest rank, and the rank was the queue's load at that entry. An entry that got more of a queue than the others stood behind them at all its agents. The share of the entry's load, in doublings, is alike at all of them and keeps the order between queues.

What remains is the number of agents: 14 to 38 for one entry.

--- a/pool/scheduler/load_test.go
+++ b/pool/scheduler/load_test.go
@@ -276,6 +276,31 @@
 	}
 }
 
+// TestDemandsOfEntriesCompare answers the pattern "one entry gets more of the
+// burst than the others": for the same queue it ranks like them, so that it gets
+// its turn of the room that becomes free; the queue that asks for little goes
+// first at all of them.
+func TestDemandsOfEntriesCompare(t *testing.T) {
+	// Loads in thousandths of a core, as the grown trials desk has them.
+	loads := map[string]float64{"check": 51000, "press": 70000, "label": 123000}
+	demand := func(queue string, factor float64) float64 {
+		core := New(Options{})
+		for name, load := range loads {
+			core.queueOf(name).offered.value = load * factor
+		}
+		j := &job{Job: &Job{Estimate: 200 * time.Millisecond, Stretch: 1.6}, queue: core.queueOf(queue)}
+		return core.demandRank(j)
+	}
+	for queue := range loads {
+		if usual, more := demand(queue, 1), demand(queue, 2.3); usual != more {
+			t.Errorf("%s ranks %v at a usual entry, %v at one with more load", queue, usual, more)
+		}
+	}
+	if check, label := demand("check", 1), demand("label", 1); check >= label {
+		t.Errorf("the small queue ranks %v, the large one %v", check, label)
+	}
+}
+
 // TestStalledEntryGivesUpItsJobs: after a pause so long that callers may have
 // submitted elsewhere nothing more is started, and the answers say what is so.
 func TestStalledEntryGivesUpItsJobs(t *testing.T) {
--- a/pool/scheduler/place.go
+++ b/pool/scheduler/place.go
@@ -62,6 +62,23 @@
 	return float64(c.band(j))*bandWidth + math.Round(j.queue.offered.rate(c.now)/1000)
 }
 
+// demandRank orders the demands of several entries in the same way. It counts
+// the queue's share of this entry's load, in doublings: the load itself would
+// put an entry that gets more of a queue behind the others, and small
+// differences of the share would do so by chance.
+func (c *Core) demandRank(j *job) float64 {
+	const (
+		bandWidth = 100
+		doublings = 10
+	)
+	total := 0.0
+	for _, q := range c.queues {
+		total += q.offered.rate(c.now)
+	}
+	share := j.queue.offered.rate(c.now) / max(total, 1)
+	return float64(c.band(j))*bandWidth + max(0, doublings+math.Round(math.Log2(max(share, 1e-6))))
+}
+
 // candidates returns the jobs that wait for starts, in the order of their turn.
 func (c *Core) candidates() []*job {
 	var list []*job
@@ -107,7 +124,7 @@
 		}
 		if blocked == nil {
 			blocked = j
-			c.demand = message.RunDemand{Count: int64(j.waiting), Rank: c.rank(j), Need: j.Need}
+			c.demand = message.RunDemand{Count: int64(j.waiting), Rank: c.demandRank(j), Need: j.Need}
 			c.demandService = j.Service
 		}
 	}
