Agents work for three entries, and give back those they no longer need

Cause: in a burst of one zone its one small entry (0.19 of a core) was short of processor time, not of endpoints: each session costs it some twenty messages a second. Sessions that an agent had opened while preferred entries were away or not yet known were kept for good, 5.4 a agent instead of 4. They are given back now in two steps: the entry is told to order nothing, and when nothing of it is left the session ends. And three entries an agent are enough.

--- a/pool/machine_test.go
+++ b/pool/machine_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"marjoramlug.example/marjoramlug/pool/worker"
+
 	"pgregory.net/rapid"
 )
 
@@ -26,7 +28,7 @@
 	e := w.draw.intn(len(w.entries), "entry")
 	a := w.draw.intn(len(w.agents), "agent")
 	span := time.Duration(w.draw.intn(300, "span")) * 10 * time.Millisecond
-	fault := w.draw.intn(15, "fault")
+	fault := w.draw.intn(16, "fault")
 	w.tell("fault %d entry %d agent %d for %v", fault, e, a, span)
 	switch fault {
 	case 0:
@@ -56,6 +58,13 @@
 		}
 	case 9:
 		w.agents[a].endpoint.stuck = w.draw.intn(50, "stuck share")
+	case 10:
+		for range 2 {
+			w.agents[a].inbox = append(w.agents[a].inbox, worker.SessionSurplus{Session: worker.Session(w.links.Get([2]int{e, a}).session)})
+			for range 1 + w.draw.intn(200, "until the second") {
+				w.advance()
+			}
+		}
 	default:
 		w.submit(e, 1+w.draw.intn(5, "tasks"), 6000, 100*time.Millisecond)
 	}
--- a/pool/node/agent.go
+++ b/pool/node/agent.go
@@ -96,6 +96,7 @@
 			}
 		case <-publish.C:
 			a.publish()
+			a.releaseSurplus()
 		}
 	}
 }
@@ -211,6 +212,14 @@
 	}()
 }
 
+// releaseSurplus gives back the entries beyond those that the agent has to work
+// for: it took them while others were away.
+func (a *Agent) releaseSurplus() {
+	for _, c := range a.dialer.surplus() {
+		a.step(worker.SessionSurplus{Session: worker.Session(a.sessions.id(c))})
+	}
+}
+
 func (a *Agent) note(n worker.Note) {
 	line := a.opts.Log.Failure()
 	line.Str("event", n.What).Str("subject", n.Subject).Str("detail", n.Detail)
--- a/pool/node/dialer.go
+++ b/pool/node/dialer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -36,12 +37,15 @@
 	failing map[string]bool
 	links   map[string]context.CancelFunc
 	ended   map[transport.Conn]chan struct{}
+	// open holds the connection to each address.
+	open map[string]transport.Conn
 }
 
 func newDialer(network transport.Network, self message.Hello, handler transport.Handler) *dialer {
 	return &dialer{
 		network: network, self: self, handler: handler,
 		links: map[string]context.CancelFunc{}, ended: map[transport.Conn]chan struct{}{}, failing: map[string]bool{},
+		open: map[string]transport.Conn{},
 	}
 }
 
@@ -93,6 +97,30 @@
 	d.failing[address] = failing
 }
 
+func (d *dialer) setOpen(address string, c transport.Conn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c == nil {
+		delete(d.open, address)
+		return
+	}
+	d.open[address] = c
+}
+
+// surplus lists the open connections to addresses that are not wanted.
+func (d *dialer) surplus() []transport.Conn {
+	d.mu.Lock()
+	open := maps.Clone(d.open)
+	d.mu.Unlock()
+	var list []transport.Conn
+	for address, c := range open {
+		if !d.isWanted(address) {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
 // keep connects to an address again and again until ctx ends.
 func (d *dialer) keep(ctx context.Context, address string) {
 	pause := firstRedial
@@ -109,7 +137,9 @@
 		d.setFailing(address, err != nil)
 		if err == nil {
 			pause = firstRedial
+			d.setOpen(address, c)
 			d.await(ctx, c)
+			d.setOpen(address, nil)
 		}
 		if !kernel.Sleep(ctx, pause/2+rand.N(pause/2)) {
 			return
--- a/pool/worker/core.go
+++ b/pool/worker/core.go
@@ -61,6 +61,9 @@
 	endMemory = 10 * time.Second
 	// stopRepeat is the pause after which an unanswered stop is sent again.
 	stopRepeat = 150 * time.Millisecond
+	// releaseTime is how long an entry has been told to order nothing before its
+	// session is closed: several times the way there and back.
+	releaseTime = 500 * time.Millisecond
 	// startAttempts bounds how often a start is sent under a raised fence.
 	startAttempts = 3
 )
@@ -158,6 +161,8 @@
 		c.openSession(ev)
 	case SessionClosed:
 		c.closeSession(ev.Session)
+	case SessionSurplus:
+		c.release(ev.Session)
 	case OrdersReceived:
 		c.takeOrders(ev.Session, ev.Orders)
 	case EndpointSeen:
--- a/pool/worker/endpoint.go
+++ b/pool/worker/endpoint.go
@@ -62,10 +62,11 @@
 	return e.present && e.settled && !e.leaving && !e.strange && !c.stopping && c.now-e.answered < unreachableAfter
 }
 
-func (c *Core) describe() *message.PoolEndpoint {
+func (c *Core) describe(o *owner) *message.PoolEndpoint {
 	e := &c.endpoint
 	return &message.PoolEndpoint{
-		Name: e.name, Life: e.adoption, Service: e.service, Capacity: e.capacity, Labels: e.labels, Ready: c.ready(),
+		Name: e.name, Life: e.adoption, Service: e.service, Capacity: e.capacity, Labels: e.labels,
+		Ready: c.ready() && o.released == 0,
 	}
 }
 
--- a/pool/worker/event.go
+++ b/pool/worker/event.go
@@ -22,6 +22,10 @@
 // SessionClosed ends a session.
 type SessionClosed struct{ Session Session }
 
+// SessionSurplus says that the agent need not work for a session's entry. It is
+// repeated while that is so.
+type SessionSurplus struct{ Session Session }
+
 // OrdersReceived is a message of an entry.
 type OrdersReceived struct {
 	Session Session
@@ -149,6 +153,7 @@
 
 func (SessionOpened) event()  {}
 func (SessionClosed) event()  {}
+func (SessionSurplus) event() {}
 func (OrdersReceived) event() {}
 func (EndpointSeen) event()   {}
 func (EndpointLeft) event()   {}
--- a/pool/worker/owner.go
+++ b/pool/worker/owner.go
@@ -22,6 +22,9 @@
 	orders uint64
 	demand message.RunDemand
 
+	// released is since when the entry is told to order nothing, so that its
+	// session can be closed; 0 while it may order.
+	released time.Duration
 	// forgotten says that ends of the entry's runs were given up with it.
 	forgotten bool
 
@@ -118,6 +121,43 @@
 	c.do(Note{What: "entry lost", Subject: o.key.entry, Detail: reason})
 }
 
+// release closes a session that is not needed, in two steps: the entry is told
+// that it may order nothing, and when nothing of it is left here the session
+// ends. What it orders meanwhile is refused.
+func (c *Core) release(id Session) {
+	o := c.sessions[id]
+	if o == nil {
+		return
+	}
+	switch {
+	case c.owes(o):
+		if o.released != 0 {
+			o.released, o.told = 0, 0
+		}
+	case o.released == 0:
+		o.released, o.told = c.now, 0
+	case c.now-o.released >= releaseTime:
+		delete(c.sessions, id)
+		c.owners.Delete(o.key)
+		c.do(CloseSession{Session: id, Reason: "the entry has other agents"})
+		c.do(Note{What: "entry released", Subject: o.key.entry})
+	}
+}
+
+// owes reports whether something of an entry is left here, or it waits for
+// room.
+func (c *Core) owes(o *owner) bool {
+	if len(o.ends) > 0 || o.demand.Count > 0 {
+		return true
+	}
+	for _, r := range c.runs.All() {
+		if r.owner == o {
+			return true
+		}
+	}
+	return false
+}
+
 // takeOrders carries out a message of an entry.
 func (c *Core) takeOrders(id Session, orders *message.RunOrders) {
 	o := c.sessions[id]
@@ -192,7 +232,7 @@
 		}
 	}
 	if o.told != c.endpoint.version || r.Sync {
-		r.Endpoint = c.describe()
+		r.Endpoint = c.describe(o)
 		o.told = c.endpoint.version
 	}
 	o.free, o.pace, o.lastSent = free, pace, c.now
--- a/pool/worker/run.go
+++ b/pool/worker/run.go
@@ -80,7 +80,7 @@
 
 func (c *Core) refusal(o *owner, need message.Resources, fresh bool) message.RunCause {
 	switch {
-	case c.stopping, c.endpoint.leaving:
+	case c.stopping, c.endpoint.leaving, o.released != 0:
 		return message.CauseLeaving
 	case !c.ready():
 		return message.CauseUnreachable
--- a/pool/worker/worker_test.go
+++ b/pool/worker/worker_test.go
@@ -342,3 +342,47 @@
 		}
 	}
 }
+
+// TestSurplusSessionEndsWhenNothingIsLeft: an entry that the agent need not work
+// for keeps its session while a run of it is here or it waits for room, and is
+// told to order nothing before the session ends.
+func TestSurplusSessionEndsWhenNothingIsLeft(t *testing.T) {
+	r := ready(t)
+	r.orders(1, "a", 1, 1000)
+	start := find[StartCall](r)[0]
+	r.play(StartAnswered{Call: start.Call, Run: start.Run, Result: StartTaken, Clock: Clock{6000, true}})
+	surplus := func(running ...AliveRun) {
+		for range 2 {
+			r.now += releaseTime / 2
+			r.alive(1)
+			r.play(LookAnswered{
+				Call: r.core.endpoint.looking, Result: LookTaken, Born: 1, Running: running,
+				Clock: Clock{6000 + r.now.Milliseconds(), true},
+			})
+		}
+		r.play(SessionSurplus{Session: 1})
+	}
+	for range 3 {
+		surplus(AliveRun{Run: start.Run})
+		if len(find[CloseSession](r)) != 0 {
+			t.Fatal("closed with a run left")
+		}
+	}
+	r.play(LookAnswered{Call: r.core.endpoint.looking, Result: LookTaken, Born: 1, Clock: Clock{9000, true},
+		Ended: []EndedRun{{Seq: 1, Run: start.Run, Outcome: message.RunDone}}})
+	r.alive(1)
+	r.play(SessionSurplus{Session: 1})
+	reports := find[SendReport](r)
+	if len(reports) != 1 || reports[0].Report.Endpoint == nil || reports[0].Report.Endpoint.Ready {
+		t.Fatalf("the entry was not told to order nothing: %+v", r.actions)
+	}
+	r.orders(1, "b", 1, 1000)
+	if ends := r.ends(); len(ends) != 1 || ends[0].Cause != message.CauseLeaving {
+		t.Errorf("an order meanwhile ended as %+v", ends)
+	}
+	r.alive(1)
+	surplus()
+	if len(find[CloseSession](r)) != 1 {
+		t.Errorf("the session was not closed: %+v", r.actions)
+	}
+}
--- a/settings/pool.go
+++ b/settings/pool.go
@@ -34,8 +34,9 @@
 	Store    Store  `yaml:"store"`
 	Timing   Timing `yaml:"timing"`
 	Budget   Budget `yaml:"budget"`
-	// Fanout is the number of entries that the agent works for. Default 4: any
-	// three may be lost at once without an agent idling until it has dialled.
+	// Fanout is the number of entries that the agent works for. Default 3: any two
+	// may be lost at once without an agent idling until it has dialled, and each
+	// more costs the smallest entries processor time that bursts need.
 	Fanout int `yaml:"fanout,omitempty" validate:"gte=0"`
 }
 
@@ -79,7 +80,7 @@
 // ApplyDefaults fills unset fields.
 func (a *PoolAgent) ApplyDefaults() {
 	a.Timing.ApplyDefaults()
-	setDefault(&a.Fanout, 4)
+	setDefault(&a.Fanout, 3)
 }
 
 // ApplyDefaults fills unset fields.
