--- a/pool/worker/core.go
+++ b/pool/worker/core.go
@@ -59,6 +59,9 @@
 	// endMemory is how long an ended run is known, so that a look that was
 	// overtaken does not take it for a stranger. Looks time out long before.
 	endMemory = 10 * time.Second
+	// givenUpMemory is how long an entry's life that was given up is remembered: an
+	// entry that was held up for longer has given up its jobs long ago.
+	givenUpMemory = 10 * time.Minute
 	// stopRepeat is the pause after which an unanswered stop is sent again.
 	stopRepeat = 150 * time.Millisecond
 	// releaseTime is how long an entry has been told to order nothing before its
@@ -92,8 +95,9 @@
 
 	owners   kernel.OrderedMap[ownerKey, *owner]
 	sessions map[Session]*owner
-	// givenUp holds the lives of entries that were silent for too long.
-	givenUp  map[ownerKey]struct{}
+	// givenUp holds the lives of entries that were silent for too long, and when
+	// they were given up.
+	givenUp  map[ownerKey]time.Duration
 	calls    uint64
 	stopping bool
 	drained  bool
@@ -122,7 +126,7 @@
 		opts:     opts,
 		ended:    map[message.RunRef]time.Duration{},
 		sessions: map[Session]*owner{},
-		givenUp:  map[ownerKey]struct{}{},
+		givenUp:  map[ownerKey]time.Duration{},
 	}
 }
 
--- a/pool/worker/owner.go
+++ b/pool/worker/owner.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"maps"
 	"time"
 
 	"marjoramlug.example/marjoramlug/message"
@@ -102,9 +103,15 @@
 	}
 }
 
+// giveUp remembers a life of an entry, and forgets those of long ago.
+func (c *Core) giveUp(key ownerKey) {
+	maps.DeleteFunc(c.givenUp, func(_ ownerKey, at time.Duration) bool { return c.now-at > givenUpMemory })
+	c.givenUp[key] = c.now
+}
+
 func (c *Core) dropOwner(o *owner, reason string) {
 	c.owners.Delete(o.key)
-	c.givenUp[o.key] = struct{}{}
+	c.giveUp(o.key)
 	if o.session != 0 {
 		delete(c.sessions, o.session)
 		c.do(CloseSession{Session: o.session, Reason: reason})
--- a/pool/worker/worker_test.go
+++ b/pool/worker/worker_test.go
@@ -386,3 +386,14 @@
 		t.Errorf("the session was not closed: %+v", r.actions)
 	}
 }
+
+func TestEntriesGivenUpLongAgoAreForgotten(t *testing.T) {
+	r := ready(t)
+	for i := range 50 {
+		r.now += time.Minute
+		r.play(SessionOpened{Session: Session(10 + i), Entry: "e1", Incarnation: uint64(10 + i)})
+	}
+	if n := len(r.core.givenUp); n > int(givenUpMemory/time.Minute)+1 {
+		t.Errorf("%d lives are remembered", n)
+	}
+}
