--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -18,7 +18,7 @@
 // layers lists the top-level folders from the highest to the lowest. An import
 // may only point down, or stay within its folder.
 var layers = []string{
-	"e2e", "cmd", "command", "load", "embedded", "standin", "platform", "pool", "entry", "agent", "api", "replica", "plugin",
+	"e2e", "soak", "cmd", "command", "load", "embedded", "standin", "platform", "pool", "entry", "agent", "api", "replica", "plugin",
 	"dispatch", "ownership", "membership", "config", "sharedlog", "transport", "telemetry",
 	"message", "settings", "validation", "verdict", "kernel",
 }
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -60,8 +60,8 @@
 
 // process is one process of the product, restarted by faults.
 type process struct {
-	name, role, settings string
-	dir                  string
+	name, role string
+	dir        string
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -29,7 +29,7 @@
 // on the cause; faults come at real times, so a seed gives the same faults but
 // not the same interleaving.
 var fixedSeeds = map[uint64]string{
-	1: "short run of CI",
+	1:               "short run of CI",
 	159926703899893: "an agent that had drained ended with an error, as half a heartbeat was open",
 }
 
