--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -279,7 +279,7 @@
 	c.write(a.name, fmt.Sprintf("pool_agent:\n  name: %s\n  http: %s\n  endpoint: %s\n  metrics: %s%s",
 		a.name, beats, a.calls.address(), freeTCP(c.t), c.common()))
 	c.must(a.start(c.record))
-	c.bear(a)
+	c.startEndpoint(a)
 	c.agents = append(c.agents, a)
 }
 
@@ -287,8 +287,8 @@
 	c.must(os.WriteFile(filepath.Join(c.dir, name+".yaml"), []byte(text), 0o600))
 }
 
-// bear begins a life of an agent's endpoint.
-func (c *cluster) bear(a *agent) {
+// startEndpoint begins a life of an agent's endpoint.
+func (c *cluster) startEndpoint(a *agent) {
 	a.runnerMu.Lock()
 	defer a.runnerMu.Unlock()
 	var listener net.Listener
@@ -308,8 +308,8 @@
 	go life.Beat(ctx)
 }
 
-// crash ends the present life of an agent's endpoint.
-func (c *cluster) crash(a *agent) {
+// crashEndpoint ends the present life of an agent's endpoint.
+func (c *cluster) crashEndpoint(a *agent) {
 	a.runnerMu.Lock()
 	defer a.runnerMu.Unlock()
 	a.cancel()
@@ -397,7 +397,7 @@
 	for _, a := range c.agents {
 		a.signal(syscall.SIGCONT)
 		a.kill()
-		c.crash(a)
+		c.crashEndpoint(a)
 		a.calls.close()
 		a.beats.close()
 	}
--- a/soak/record_test.go
+++ b/soak/record_test.go
@@ -30,15 +30,16 @@
 	}
 }
 
-func (r *record) breaks(format string, args ...any) {
+// addViolation notes a broken promise; r.mu is held.
+func (r *record) addViolation(format string, args ...any) {
 	r.broken = append(r.broken, fmt.Sprintf("%.3f s: ", time.Since(r.begun).Seconds())+fmt.Sprintf(format, args...))
 }
 
-// violation notes a broken promise.
+// violation notes a broken promise that is not about tasks.
 func (r *record) violation(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.breaks(format, args...)
+	r.addViolation(format, args...)
 }
 
 func (r *record) count(what string) {
@@ -55,7 +56,7 @@
 	r.starts[jobOf(task)]++
 	r.counts["starts"]++
 	if r.alive[task] > 1 {
-		r.breaks("%s ran twice at the same time", task)
+		r.addViolation("%s ran twice at the same time", task)
 	}
 }
 
@@ -81,7 +82,7 @@
 	r.counts["completed"]++
 	for i := range tasks {
 		if !r.done[job+".0.0."+strconv.Itoa(i)] {
-			r.breaks("%s was answered as completed, but task %d of %d was not done", job, i, tasks)
+			r.addViolation("%s was answered as completed, but task %d of %d was not done", job, i, tasks)
 		}
 	}
 }
@@ -102,7 +103,7 @@
 			return
 		}
 	}
-	r.breaks("%s was answered as failed, but no task of it had failed %d times", job, attempts)
+	r.addViolation("%s was answered as failed, but no task of it had failed %d times", job, attempts)
 }
 
 // refused notes an answer that says that a job has not run.
@@ -119,12 +120,12 @@
 	defer r.mu.Unlock()
 	for _, job := range r.notRun {
 		if n := r.starts[job]; n > 0 {
-			r.breaks("%s was refused as not run, but %d starts were seen", job, n)
+			r.addViolation("%s was refused as not run, but %d starts were seen", job, n)
 		}
 	}
 	for task, n := range r.alive {
 		if n > 0 {
-			r.breaks("%s still runs after everything has ended", task)
+			r.addViolation("%s still runs after everything has ended", task)
 		}
 	}
 	return r.broken
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -226,9 +226,9 @@
 		func() { d.endpointFault(a, span) },
 		func() {
 			d.tell("%s's endpoint crashes, back after %v", a.name, span/4)
-			d.crash(a)
+			d.crashEndpoint(a)
 			time.Sleep(span / 4)
-			d.bear(a)
+			d.startEndpoint(a)
 		},
 		func() {
 			share := 20 + d.draw.IntN(60)
