Signals are caught from the first statement on

Cause, found by the soak: SIGHUP was caught by a goroutine that began once the process served; one that came 9 ms after the start ended the process. SIGTERM had the same gap. Both are caught now before the settings are read; the test sends both during the start and failed with 'signal: hangup' before.

Ruled out: that the process had already served (its log has no line of that life).

--- a/command/platform.go
+++ b/command/platform.go
@@ -65,6 +65,12 @@
 type startFunc func(*settings.File, platform.Environment) (platform.Process, error)
 
 func runOnPlatform(path, role string, start startFunc) error {
+	// The platform may signal a process that still starts.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	stops := catchStops()
+	defer signal.Stop(stops)
 	file, err := loadSettings(path)
 	if err != nil {
 		return err
@@ -81,8 +87,8 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go watchSettings(ctx, path, events, process.Reload)
-	err = runUntilSignal(stopLimit(file), process.Stop)
+	go watchSettings(ctx, path, hangups, events, process.Reload)
+	err = stopOnSignal(stops, stopLimit(file), process.Stop)
 	events.Close()
 	return err
 }
@@ -96,10 +102,7 @@
 
 // watchSettings takes over the settings file at each SIGHUP and when it has
 // changed. A file that can't be used leaves the settings as they are.
-func watchSettings(ctx context.Context, path string, events *telemetry.EventLog, reload func(*settings.File)) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func watchSettings(ctx context.Context, path string, hangups <-chan os.Signal, events *telemetry.EventLog, reload func(*settings.File)) {
 	poll := time.NewTicker(settingsPoll)
 	defer poll.Stop()
 	last, _ := os.ReadFile(path)
--- /dev/null
+++ b/command/platform_signal_test.go
@@ -0,0 +1,52 @@
+package command
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"marjoramlug.example/marjoramlug/platform"
+	"marjoramlug.example/marjoramlug/settings"
+)
+
+type fakeProcess struct{ stopped chan struct{} }
+
+func (p *fakeProcess) Stop(context.Context) error {
+	close(p.stopped)
+	return nil
+}
+
+func (*fakeProcess) Reload(*settings.File) {}
+
+// TestSignalsDuringTheStart: a reload or a stop that is asked for while the
+// process still starts does not end it unplanned. The soak found it (seed
+// 100491792568735).
+func TestSignalsDuringTheStart(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "agent.yaml")
+	text := "pool_agent:\n  name: a\n  http: 127.0.0.1:0\n  endpoint: 127.0.0.1:1\n  store:\n    address: 127.0.0.1:1\n" +
+		"  timing: {lease: 1s, stop_time: 50ms, retransmit: 1300ms, grace: 6s}\n  budget: {memory_mb: 64}\n"
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	process := &fakeProcess{stopped: make(chan struct{})}
+	err := runOnPlatform(path, "agent", func(*settings.File, platform.Environment) (platform.Process, error) {
+		for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM} {
+			if err := syscall.Kill(os.Getpid(), s); err != nil {
+				t.Error(err)
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+		return process, nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-process.stopped:
+	default:
+		t.Error("the process was not stopped as planned")
+	}
+}
--- a/command/signal.go
+++ b/command/signal.go
@@ -20,9 +20,19 @@
 // runUntilSignal waits for SIGTERM or SIGINT and then stops the daemon. A
 // second signal, or the limit, ends the stop at once.
 func runUntilSignal(limit time.Duration, stop stopFunc) error {
+	signals := catchStops()
+	defer signal.Stop(signals)
+	return stopOnSignal(signals, limit, stop)
+}
+
+// catchStops collects the signals that ask for a planned stop.
+func catchStops() chan os.Signal {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
+	return signals
+}
+
+func stopOnSignal(signals <-chan os.Signal, limit time.Duration, stop stopFunc) error {
 	<-signals
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -27,6 +27,7 @@
 // not the same interleaving.
 var fixedSeeds = map[uint64]string{
 	1:               "short run of CI",
+	100491792568735: "SIGHUP to an entry that had just begun ended it",
 	159926703899893: "an agent that had drained ended with an error, as half a heartbeat was open",
 }
 
