Agents of small pools work for all entries

Cause: with three entries an agent, an entry of the tray site's four had the choice among some eight of eleven endpoints.

Grown deployments, with 11 and 14 entries, keep three.

--- a/pool/node/agent.go
+++ b/pool/node/agent.go
@@ -73,7 +73,6 @@
 		Zone: s.Zone, Region: s.Region, Version: o.Version,
 	}
 	a.dialer = newDialer(o.Network, self, a)
-	a.dialer.limit = s.Fanout
 	return a
 }
 
@@ -104,7 +103,7 @@
 // SetEntries replaces the addresses of the entries, of which the agent works for
 // the few that it prefers.
 func (a *Agent) SetEntries(addresses []string) {
-	a.dialer.set(a.ctx, preference(a.settings.Name, addresses))
+	a.dialer.set(a.ctx, preference(a.settings.Name, addresses), limitFor(len(addresses), a.settings.Fanout))
 }
 
 // Announce hands over an endpoint's announcement of itself and returns when it
--- a/pool/node/dialer.go
+++ b/pool/node/dialer.go
@@ -27,10 +27,10 @@
 	network transport.Network
 	self    message.Hello
 	handler transport.Handler
-	// limit is the number of connections wanted; 0 wants one to each address.
-	limit int
 
 	mu sync.Mutex
+	// limit is the number of connections wanted; 0 wants one to each address.
+	limit int
 	// order lists the addresses, the preferred ones first; failing holds those
 	// that the last attempt did not reach.
 	order   []string
@@ -49,12 +49,12 @@
 	}
 }
 
-// set replaces the addresses, the preferred ones first. Connections to others
-// are closed.
-func (d *dialer) set(ctx context.Context, addresses []string) {
+// set replaces the addresses, the preferred ones first, and the number of
+// connections wanted; 0 wants one to each. Connections to others are closed.
+func (d *dialer) set(ctx context.Context, addresses []string, limit int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.order = addresses
+	d.order, d.limit = addresses, limit
 	wanted := map[string]bool{}
 	for _, address := range addresses {
 		wanted[address] = true
--- a/pool/node/peers.go
+++ b/pool/node/peers.go
@@ -72,7 +72,7 @@
 			others = append(others, address)
 		}
 	}
-	p.dialer.set(p.entry.ctx, others)
+	p.dialer.set(p.entry.ctx, others, 0)
 }
 
 // disconnected concerns connections that other entries opened.
--- a/pool/node/subset_test.go
+++ b/pool/node/subset_test.go
@@ -27,6 +27,16 @@
 	}
 }
 
+// TestEntriesOfASmallPoolUseAllEndpoints answers the pattern "some of eleven
+// endpoints turn slow": with four entries each of them has the choice among all.
+func TestEntriesOfASmallPoolUseAllEndpoints(t *testing.T) {
+	for entries, want := range map[int]int{1: 0, 4: 0, smallPool: 0, smallPool + 1: 3, 14: 3} {
+		if got := limitFor(entries, 3); got != want {
+			t.Errorf("%d entries: limit %d, want %d", entries, got, want)
+		}
+	}
+}
+
 func TestPreferenceIsStable(t *testing.T) {
 	with := preference("a", []string{"x", "y", "z", "w"})
 	without := preference("a", []string{"w", "z", "y"})
--- a/settings/pool.go
+++ b/settings/pool.go
@@ -34,7 +34,8 @@
 	Store    Store  `yaml:"store"`
 	Timing   Timing `yaml:"timing"`
 	Budget   Budget `yaml:"budget"`
-	// Fanout is the number of entries that the agent works for. Default 3: any two
+	// Fanout is the number of entries that the agent works for where there are more
+	// than five; else it works for all. Default 3: any two
 	// may be lost at once without an agent idling until it has dialled, and each
 	// more costs the smallest entries processor time that bursts need.
 	Fanout int `yaml:"fanout,omitempty" validate:"gte=0"`
