A released entry stops ordering at once, and orders again when it is needed

Cause, found on reading the change: an entry that had been told to order nothing was never told otherwise when its session ceased to be surplus, as another entry had gone meanwhile. And it was only told when nothing of it ran at that moment, which under load is hardly ever. Now it is told at once, its runs end, and what is not said to be surplus for three seconds is taken back. The test failed before: an order of a needed entry was refused as leaving.

--- a/pool/worker/core.go
+++ b/pool/worker/core.go
@@ -67,6 +67,9 @@
 	// releaseTime is how long an entry has been told to order nothing before its
 	// session is closed: several times the way there and back.
 	releaseTime = 500 * time.Millisecond
+	// surplusTime is how long a session counts as surplus after it was last said to
+	// be, several times the second after which that is repeated.
+	surplusTime = 3 * time.Second
 	// startAttempts bounds how often a start is sent under a raised fence.
 	startAttempts = 3
 )
@@ -153,6 +156,7 @@
 	c.repeatStops()
 	c.look()
 	c.noticeReadiness()
+	c.reinstate()
 	c.offerRoom()
 	c.report()
 	c.finish()
--- a/pool/worker/owner.go
+++ b/pool/worker/owner.go
@@ -26,6 +26,8 @@
 	// released is since when the entry is told to order nothing, so that its
 	// session can be closed; 0 while it may order.
 	released time.Duration
+	// surplus is when the session was last said to be surplus.
+	surplus time.Duration
 	// forgotten says that ends of the entry's runs were given up with it.
 	forgotten bool
 
@@ -136,14 +138,11 @@
 	if o == nil {
 		return
 	}
+	o.surplus = c.now
 	switch {
-	case c.owes(o):
-		if o.released != 0 {
-			o.released, o.told = 0, 0
-		}
 	case o.released == 0:
 		o.released, o.told = c.now, 0
-	case c.now-o.released >= releaseTime:
+	case c.now-o.released >= releaseTime && !c.owes(o):
 		delete(c.sessions, id)
 		c.owners.Delete(o.key)
 		c.do(CloseSession{Session: id, Reason: "the entry has other agents"})
@@ -151,10 +150,19 @@
 	}
 }
 
-// owes reports whether something of an entry is left here, or it waits for
-// room.
+// reinstate lets entries order again that are no longer said to be surplus.
+func (c *Core) reinstate() {
+	for _, o := range c.owners.All() {
+		if o.released != 0 && c.now-o.surplus > surplusTime {
+			o.released, o.told = 0, 0
+		}
+	}
+}
+
+// owes reports whether a run of an entry is here, or an end that it has not
+// acknowledged.
 func (c *Core) owes(o *owner) bool {
-	if len(o.ends) > 0 || o.demand.Count > 0 {
+	if len(o.ends) > 0 {
 		return true
 	}
 	for _, r := range c.runs.All() {
--- a/pool/worker/worker_test.go
+++ b/pool/worker/worker_test.go
@@ -362,6 +362,15 @@
 		}
 		r.play(SessionSurplus{Session: 1})
 	}
+	r.play(SessionSurplus{Session: 1})
+	reports := find[SendReport](r)
+	if len(reports) != 1 || reports[0].Report.Endpoint == nil || reports[0].Report.Endpoint.Ready {
+		t.Fatalf("the entry was not told to order nothing: %+v", r.actions)
+	}
+	r.orders(1, "b", 1, 1000)
+	if ends := r.ends(); len(ends) != 1 || ends[0].Cause != message.CauseLeaving {
+		t.Errorf("an order meanwhile ended as %+v", ends)
+	}
 	for range 3 {
 		surplus(AliveRun{Run: start.Run})
 		if len(find[CloseSession](r)) != 0 {
@@ -370,18 +379,12 @@
 	}
 	r.play(LookAnswered{Call: r.core.endpoint.looking, Result: LookTaken, Born: 1, Clock: Clock{9000, true},
 		Ended: []EndedRun{{Seq: 1, Run: start.Run, Outcome: message.RunDone}}})
-	r.alive(1)
 	r.play(SessionSurplus{Session: 1})
-	reports := find[SendReport](r)
-	if len(reports) != 1 || reports[0].Report.Endpoint == nil || reports[0].Report.Endpoint.Ready {
-		t.Fatalf("the entry was not told to order nothing: %+v", r.actions)
-	}
-	r.orders(1, "b", 1, 1000)
-	if ends := r.ends(); len(ends) != 1 || ends[0].Cause != message.CauseLeaving {
-		t.Errorf("an order meanwhile ended as %+v", ends)
+	if len(find[CloseSession](r)) != 0 {
+		t.Fatal("closed with an end that was not acknowledged")
 	}
 	r.alive(1)
-	surplus()
+	r.play(SessionSurplus{Session: 1})
 	if len(find[CloseSession](r)) != 1 {
 		t.Errorf("the session was not closed: %+v", r.actions)
 	}
@@ -397,3 +400,24 @@
 		t.Errorf("%d lives are remembered", n)
 	}
 }
+
+// TestReleasedEntryIsTakenBackWhenItIsNeededAgain: a session that is no longer
+// surplus, as another entry has gone meanwhile, takes orders again.
+func TestReleasedEntryIsTakenBackWhenItIsNeededAgain(t *testing.T) {
+	r := ready(t)
+	r.play(SessionSurplus{Session: 1})
+	if reports := find[SendReport](r); len(reports) != 1 || reports[0].Report.Endpoint.Ready {
+		t.Fatalf("the entry was not told to order nothing: %+v", r.actions)
+	}
+	for end := r.now + 5*time.Second; r.now < end; {
+		r.now += 100 * time.Millisecond
+		r.alive(1)
+		r.play(LookAnswered{
+			Call: r.core.endpoint.looking, Result: LookTaken, Born: 1, Clock: Clock{6000 + r.now.Milliseconds(), true},
+		})
+	}
+	r.orders(1, "a", 1, 1000)
+	if len(find[StartCall](r)) != 1 {
+		t.Errorf("an order of an entry that is needed again: %+v", r.ends())
+	}
+}
