--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -15,7 +15,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -157,6 +156,8 @@
 	c.write(e.name, fmt.Sprintf("pool_entry:\n  name: %s\n  listen: %s\n  advertise: %s\n  http: %s\n  readiness: %s\n  metrics: %s%s",
 		e.name, listen, e.link.address(), callers, freeTCP(c.t), freeTCP(c.t), c.common()))
 	c.must(e.start(c.record))
+	// A day that can't begin must not leave processes behind either.
+	c.t.Cleanup(e.end)
 	c.entries = append(c.entries, e)
 }
 
@@ -171,6 +172,7 @@
 	c.write(a.name, fmt.Sprintf("pool_agent:\n  name: %s\n  http: %s\n  endpoint: %s\n  metrics: %s%s",
 		a.name, beats, a.calls.address(), freeTCP(c.t), c.common()))
 	c.must(a.start(c.record))
+	c.t.Cleanup(a.end)
 	c.startEndpoint(a)
 	c.agents = append(c.agents, a)
 }
@@ -281,14 +283,12 @@
 // failed, shows where the logs are.
 func (c *cluster) close() {
 	for _, e := range c.entries {
-		e.signal(syscall.SIGCONT)
-		e.kill()
+		e.end()
 		e.link.close()
 		e.callers.close()
 	}
 	for _, a := range c.agents {
-		a.signal(syscall.SIGCONT)
-		a.kill()
+		a.end()
 		c.crashEndpoint(a)
 		a.calls.close()
 		a.beats.close()
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -96,6 +96,12 @@
 	<-ended
 }
 
+// end ends the present life for good, also when it is paused.
+func (p *process) end() {
+	p.signal(syscall.SIGCONT)
+	p.kill()
+}
+
 // stop ends the present life as planned work and checks that it does so in
 // time and without an error.
 func (p *process) stop(r *record) {
