Short call timeouts only while calls go unanswered

Change: the shortest timeout is 25 ms, and 10 ms while the moving average of unanswered calls is above 4 %. Polls wait less under the same condition.

--- a/pool/executor/core.go
+++ b/pool/executor/core.go
@@ -55,9 +55,6 @@
 	// lossyPollWait is pollWait while calls go unanswered: the time without news of
 	// ended runs that a lost poll then costs is a quarter of a short task.
 	lossyPollWait = 15 * time.Millisecond
-	// lossyTime is how long an endpoint counts as leaving calls unanswered after the
-	// last one: some dozens of calls.
-	lossyTime = time.Second
 	// unreachableAfter is the time without an answer after which an endpoint gets
 	// no new tasks: several polls and their timeouts.
 	unreachableAfter = 600 * time.Millisecond
--- a/pool/executor/poll.go
+++ b/pool/executor/poll.go
@@ -37,7 +37,7 @@
 	}
 	if e.waitingPoll == 0 && e.promptPoll == 0 {
 		wait := pollWait
-		if e.roundTrip.lossy(c.now) {
+		if e.roundTrip.lossy() {
 			wait = lossyPollWait
 		}
 		if c.stopping && c.runs.Len() == 0 {
@@ -97,7 +97,7 @@
 		c.endpointCrashed()
 	case PollNoAnswer:
 		e.wantPromptPoll = e.wantPromptPoll || promptPoll
-		e.roundTrip.timedOut(c.now)
+		e.roundTrip.timedOut()
 		c.pollFailed()
 	}
 }
--- a/pool/executor/round_trip.go
+++ b/pool/executor/round_trip.go
@@ -7,9 +7,18 @@
 	// the time that a poll may wait. Answers take 2 ms, and up to 100 ms on a machine
 	// with saturated CPUs.
 	MaxCallTimeout = 75 * time.Millisecond
-	// minCallTimeout is the shortest one: a third of the time that a short task may
-	// wait without missing its latency objective, and several times the usual answer.
-	minCallTimeout = 10 * time.Millisecond
+	// minCallTimeout is the shortest one. One answer in a hundred takes 20 ms, and a
+	// call that was given up costs a connection.
+	minCallTimeout = 25 * time.Millisecond
+	// lossyCallTimeout replaces minCallTimeout while calls go unanswered: several
+	// times the usual answer, and a tenth of the time in which a short task has to be
+	// completed.
+	lossyCallTimeout = 10 * time.Millisecond
+	// lossyShare is the share of unanswered calls above which an endpoint counts as
+	// leaving calls unanswered. Answers that come late make up less.
+	lossyShare = 0.04
+	// lossWeight is the weight of a call in the moving average of that share.
+	lossWeight = 1.0 / 16
 	// The weights of a sample in the moving averages and of the deviation in the
 	// timeout are those of TCP's retransmission timer (RFC 6298).
 	smoothedWeight   = 0.125
@@ -23,13 +32,14 @@
 	// unanswered counts the unanswered calls since the last answer; each one
 	// doubles the timeout.
 	unanswered int
-	// lastUnanswered is the time of the last unanswered call.
-	lastUnanswered time.Duration
+	// loss is the moving average of the share of unanswered calls.
+	loss float64
 }
 
 // answered records an answer that took the given time.
 func (r *roundTrip) answered(took time.Duration) {
 	r.unanswered = 0
+	r.loss -= lossWeight * r.loss
 	if r.smoothed == 0 {
 		r.smoothed, r.deviation = took, took/2
 		return
@@ -40,9 +50,9 @@
 }
 
 // timedOut records an unanswered call.
-func (r *roundTrip) timedOut(now time.Duration) {
+func (r *roundTrip) timedOut() {
 	r.unanswered++
-	r.lastUnanswered = now
+	r.loss += lossWeight * (1 - r.loss)
 }
 
 // timeout returns how long to wait for the answer to a call.
@@ -50,7 +60,11 @@
 	if r.smoothed == 0 {
 		return MaxCallTimeout
 	}
-	wait := max(r.smoothed+deviationsToWait*r.deviation, minCallTimeout)
+	shortest := minCallTimeout
+	if r.lossy() {
+		shortest = lossyCallTimeout
+	}
+	wait := max(r.smoothed+deviationsToWait*r.deviation, shortest)
 	for range r.unanswered {
 		if wait >= MaxCallTimeout {
 			break
@@ -60,7 +74,5 @@
 	return min(wait, MaxCallTimeout)
 }
 
-// lossy reports whether a call has gone unanswered recently.
-func (r *roundTrip) lossy(now time.Duration) bool {
-	return r.lastUnanswered > 0 && now-r.lastUnanswered < lossyTime
-}
+// lossy reports whether the endpoint leaves calls unanswered.
+func (r *roundTrip) lossy() bool { return r.loss > lossyShare }
--- a/pool/executor/run.go
+++ b/pool/executor/run.go
@@ -171,7 +171,7 @@
 func (c *Core) startUnanswered(r *run) {
 	e := &c.endpoint
 	r.unanswered = true
-	e.roundTrip.timedOut(c.now)
+	e.roundTrip.timedOut()
 	c.emit(Note{What: "start not answered", Run: r.ref, Subject: e.name})
 	if !e.present || r.adoption != e.adoption || r.stopWanted || r.starts >= maxStarts {
 		c.startUnconfirmed(r)
@@ -288,7 +288,7 @@
 		}
 		interval := stopRepeat
 		if r.stopRejected {
-			interval = minCallTimeout
+			interval = lossyCallTimeout
 		}
 		if c.now-r.stopSent >= interval {
 			c.sendStop(r)
--- a/pool/executor/unanswered_test.go
+++ b/pool/executor/unanswered_test.go
@@ -137,18 +137,38 @@
 		r.answered(2 * time.Millisecond)
 	}
 	is.Equal(r.timeout(), minCallTimeout)
-	r.timedOut(time.Second)
-	is.Equal(r.timeout(), 2*minCallTimeout)
+	r.timedOut()
+	is.Equal(r.timeout(), 2*lossyCallTimeout) // the first unanswered call doubles it
+	r.answered(2 * time.Millisecond)
+	is.Equal(r.timeout(), lossyCallTimeout)
 	for range 10 {
-		r.timedOut(time.Second)
+		r.timedOut()
 	}
 	is.Equal(r.timeout(), MaxCallTimeout)
 	for range 20 {
 		r.answered(40 * time.Millisecond)
 	}
 	is.True(r.timeout() > 40*time.Millisecond)
-	is.True(r.lossy(time.Second + lossyTime/2))
-	is.True(!r.lossy(time.Second + lossyTime))
+}
+
+// TestRareLateAnswersKeepTheTimeout: answers that come late once in fifty calls are
+// no reason for shorter timeouts, which would give up more calls and with each one a
+// connection.
+func TestRareLateAnswersKeepTheTimeout(t *testing.T) {
+	var r roundTrip
+	short := 0
+	for range 100 {
+		r.timedOut()
+		for range 49 {
+			r.answered(2 * time.Millisecond)
+			if r.timeout() < minCallTimeout {
+				short++
+			}
+		}
+	}
+	if share := float64(short) / 4900; share > 0.2 {
+		t.Errorf("%.2f of the calls had a timeout below %v", share, minCallTimeout)
+	}
 }
 
 // TestLostPollCostsLittle: a poll that may wait for the end of a run is lost. The
@@ -184,7 +204,7 @@
 	r.now += stops[0].Timeout
 	r.step(StopAnswered{Call: stops[0].Call, Run: start.Run})
 	if len(actionsOf[StopCall](r)) == 0 {
-		r.now += minCallTimeout
+		r.now += lossyCallTimeout
 		r.step(Tick{})
 	}
 	is.Equal(len(actionsOf[StopCall](r)), 1)
