Refuse at once what can't be in time; leave slow endpoints to jobs that are in time there

First come, first served gave free capacity of a slow endpoint to the job that had waited longest and would be late there, while a fresh one would have been in time. Jobs whose last tasks found no capacity kept their callers until the deadline.

Change: a first review after 10 ms and eight an objective; a job that can't be in time is refused then. The wait counts the load of queues that rank before and rests on the work that is running, which is known just after a restart. Placement makes two passes: first only endpoints on which the job is in time. A job with started tasks that can't be completed before its deadline is answered at once. An entry that has just started does not refuse while its agents connect; once no endpoint has taken tasks for 0.5 s it refuses at once.

--- a/pool/scheduler/admission.go
+++ b/pool/scheduler/admission.go
@@ -1,12 +1,17 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+)
 
 const (
-	// reviewsPerObjective is how often per objective a job without a started
-	// run is reviewed: a job that can't be served is refused within a quarter
-	// of its objective, so that the caller can still submit elsewhere.
-	reviewsPerObjective = 4
+	// firstReview is the time after which a job without a started run is reviewed
+	// for the first time: free capacity is reported and ordered within a few round
+	// trips, and a caller that is refused at once can still go elsewhere.
+	firstReview = 10 * time.Millisecond
+	// reviewsPerObjective is how often per objective a waiting job is reviewed
+	// after that.
+	reviewsPerObjective = 8
 	// usefulObjectiveFactor is the multiple of its objective after which a late
 	// answer is of no more use to the caller.
 	usefulObjectiveFactor = 3
@@ -20,37 +25,52 @@
 	// minStartRateMilliCPU is the lower bound of the start rate, in thousandths
 	// of a core; it keeps the estimated wait finite.
 	minStartRateMilliCPU = 1000
+	// minRateShare is the share of the start rate that jobs get at least, however
+	// much arrives that ranks before them: a burst of such jobs ends.
+	minRateShare = 0.2
+	// waitMargin multiplies the estimated wait of a job that can still be in time:
+	// callers' estimates are off by 40 %, and tasks of several jobs share what
+	// becomes free.
+	waitMargin = 2
+	// settleTime is the time after which an entry knows the free capacity that it
+	// has: agents connect and report within some 100 ms of its start, or of the
+	// return of a service's endpoints.
+	settleTime = 500 * time.Millisecond
 )
 
-// review refuses a job without a started run if no endpoint takes tasks or the
-// estimated wait is too long.
+// review ends a waiting job that can't be served. A job without a started run is
+// refused if no endpoint takes tasks, if it can't meet its objective any more, or,
+// if it is late already, if its answer would come too late to be of use. Other jobs
+// are ended if their last task can't be completed before the caller's deadline.
 func (c *Core) review(j *job) {
 	j.reviewAt = c.now + j.objective()/reviewsPerObjective
-	if !c.anyEligible(j) {
+	if j.runs > 0 {
+		if wait := c.estimateWait(j); c.now+wait+j.expectedRunTime() > j.Deadline {
+			c.finish(j, JobExpired, "the wait for the last tasks would be "+wait.Round(time.Millisecond).String())
+		}
+		return
+	}
+	if c.anyEligible(j) {
+		j.queue.eligibleAt = c.now
+	} else if j.late || c.now-j.queue.eligibleAt > settleTime {
 		c.finish(j, JobRefused, "no endpoint takes tasks")
 		return
 	}
 	wait := c.estimateWait(j)
-	latestUsefulStart := j.received + usefulObjectiveFactor*j.objective() - j.expectedRunTime()
-	if !j.late {
-		if c.now+wait <= j.latestStart() {
-			return
-		}
-		// The objective can't be met any more. A late answer may still be
-		// useful, but late jobs start after all jobs that can be in time.
-		latestUsefulStart = min(latestUsefulStart, j.Deadline-j.expectedRunTime())
+	var hopeless bool
+	if j.late {
+		latestStart := min(j.received+usefulObjectiveFactor*j.objective(), j.Deadline) - j.expectedRunTime()
+		hopeless = c.now+wait > latestStart
+	} else {
+		hopeless = c.now-c.firstStep > settleTime && c.now+waitMargin*wait > j.latestStart()
 	}
-	if c.now+lateWaitFactor*wait > latestUsefulStart {
+	if hopeless {
 		c.finish(j, JobRefused, "the wait would be "+wait.Round(time.Millisecond).String())
 	}
 }
 
-// lateWaitFactor multiplies the estimated wait of a late job, as jobs that
-// arrive in the meantime start before it.
-const lateWaitFactor = 2
-
 // estimateWait estimates how long this entry takes to start the tasks that rank
-// before the job.
+// before the job: those that wait now, and those that arrive in the meantime.
 func (c *Core) estimateWait(j *job) time.Duration {
 	work := 0.0
 	rank := c.rank(j)
@@ -62,13 +82,40 @@
 			work += other.work(other.waiting)
 		}
 	}
-	return c.timeToStart(work)
+	if work == 0 {
+		return 0
+	}
+	rate := c.startRate()
+	return duration(work / max(rate-c.loadBefore(j), minRateShare*rate))
+}
+
+// loadBefore returns the offered load, in thousandths of a core, of the jobs that
+// rank before a job whenever they arrive: those of queues with a lower rank, and
+// all if the job is late.
+func (c *Core) loadBefore(j *job) float64 {
+	load := 0.0
+	own := j.queue.offeredLoad.rate(c.now)
+	for _, q := range c.queues {
+		offered := q.offeredLoad.rate(c.now)
+		lower := q.urgent && !j.Urgent || q.urgent == j.Urgent && offered < own
+		if j.late || q != j.queue && lower {
+			load += offered
+		}
+	}
+	return load
 }
 
-// timeToStart returns how long this entry takes to start work at its current
-// rate. The work is given in thousandths of a core times seconds.
-func (c *Core) timeToStart(work float64) time.Duration {
-	return time.Duration(work / max(c.started.rate(c.now), minStartRateMilliCPU) * float64(time.Second))
+// startRate returns the rate at which this entry starts work, in thousandths of a
+// core. While capacity is short, work starts at the rate at which running work
+// ends, which is known before starts have been counted for long.
+func (c *Core) startRate() float64 {
+	running := 0.0
+	for _, a := range c.agentList {
+		for _, r := range a.runs.All() {
+			running += float64(r.job.Need.MilliCPU) / a.slowness()
+		}
+	}
+	return max(c.started.rate(c.now), running, minStartRateMilliCPU)
 }
 
 // retryAfter returns the time after which a refused caller may expect free
@@ -80,5 +127,7 @@
 			work += j.work(j.waiting)
 		}
 	}
-	return min(max(c.timeToStart(work), minRetryAfter), maxRetryAfter)
+	return min(max(duration(work/c.startRate()), minRetryAfter), maxRetryAfter)
 }
+
+func duration(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
--- a/pool/scheduler/core.go
+++ b/pool/scheduler/core.go
@@ -57,6 +57,7 @@
 type Core struct {
 	opts       Options
 	now        time.Duration
+	firstStep  time.Duration
 	lastExpiry time.Duration
 	actions    []Action
 
@@ -135,6 +136,9 @@
 		c.interrupt("the entry was held up for " + pause.String())
 	}
 	c.now = max(c.now, now)
+	if c.firstStep == 0 {
+		c.firstStep = c.now
+	}
 	for _, ev := range events {
 		c.handle(ev)
 	}
--- a/pool/scheduler/job.go
+++ b/pool/scheduler/job.go
@@ -87,8 +87,9 @@
 	}
 	j := &job{Job: in, queue: c.queueOf(in.Queue), received: c.now, waiters: []Waiter{w}, waiting: in.Tasks}
 	j.tasks = make([]task, in.Tasks)
+	j.queue.urgent = in.Urgent
 	j.queue.offeredLoad.add(c.now, j.work(in.Tasks))
-	j.reviewAt = c.now + j.objective()/reviewsPerObjective
+	j.reviewAt = c.now + firstReview
 	c.jobs[in.ID] = j
 	c.waiters[w] = j
 	c.waiting += in.Tasks
@@ -194,7 +195,7 @@
 		j.late = true
 		j.reviewAt = c.now
 	}
-	if j.runs == 0 && c.now >= j.reviewAt {
+	if j.waiting > 0 && c.now >= j.reviewAt {
 		c.review(j)
 	}
 	c.stopOverdueRuns(j)
--- a/pool/scheduler/place.go
+++ b/pool/scheduler/place.go
@@ -121,23 +121,45 @@
 	if c.waiting == 0 {
 		return
 	}
+	candidates := c.candidates()
+	c.placeAll(candidates, true)
+	c.placeAll(candidates, false)
+}
+
+// placeAll starts the waiting tasks of jobs in their order, with inTime only on
+// endpoints on which they still meet their objective.
+func (c *Core) placeAll(candidates []*job, inTime bool) {
 	var blocked *job
-	for _, j := range c.candidates() {
+	for _, j := range candidates {
+		if j.waiting == 0 || inTime && j.late {
+			continue
+		}
 		if blocked != nil && blocked.Service == j.Service &&
 			(c.now-blocked.received > backfillTime || !smaller(j.Need, blocked.Need)) {
 			continue
 		}
-		if c.placeJob(j) {
+		if c.placeJob(j, inTime) != noCapacity || blocked != nil {
 			continue
 		}
-		if blocked == nil {
-			blocked = j
-			c.demand = message.RunDemand{Count: int64(j.waiting), Rank: c.demandRank(j), Need: j.Need}
-			c.demandService = j.Service
-		}
+		blocked = j
+		c.demand = message.RunDemand{Count: int64(j.waiting), Rank: c.demandRank(j), Need: j.Need}
+		c.demandService = j.Service
 	}
 }
 
+// placement is the result of looking for an endpoint for a task.
+type placement uint8
+
+const (
+	// placed means that no task is left that may start now.
+	placed placement = iota
+	// tooSlow means that the endpoints with free capacity are too slow for the
+	// job's objective.
+	tooSlow
+	// noCapacity means that no endpoint has enough free capacity.
+	noCapacity
+)
+
 func smaller(a, b message.Resources) bool { return a.MilliCPU < b.MilliCPU }
 
 // demandFor returns the demand to report to an agent.
@@ -148,39 +170,39 @@
 	return c.demand
 }
 
-// placeJob starts the job's waiting tasks. It returns false if a task that may
-// start now has found no agent.
-func (c *Core) placeJob(j *job) bool {
+// placeJob starts the job's waiting tasks. It stops at the first task that may
+// start now and finds no agent, and returns why.
+func (c *Core) placeJob(j *job, inTime bool) placement {
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		if t.state != taskWaiting || c.now < t.notBefore {
 			continue
 		}
-		a := c.pick(j, t)
+		a, result := c.pick(j, t, inTime)
 		if a == nil {
-			return false
+			return result
 		}
 		c.start(j, i, a)
 	}
-	return true
+	return placed
 }
 
 // pick returns the agent with the slowest endpoint on which the job still meets
 // its objective, so that fast ones stay free for tasks that need them; if there
-// is none, the fastest. Paused agents are used only if no other agent is
-// eligible. It returns nil if no agent can take the task now.
-func (c *Core) pick(j *job, t *task) *agent {
-	if a := c.pickAmong(j, t, false); a != nil {
-		return a
+// is none, the fastest, unless inTime is set. Paused agents are used only if no
+// other agent is eligible. It returns nil and the reason if no agent can take the
+// task now.
+func (c *Core) pick(j *job, t *task, inTime bool) (*agent, placement) {
+	a, result := c.pickAmong(j, t, false, inTime)
+	if a != nil || c.anyEligible(j) {
+		return a, result
 	}
-	if c.anyEligible(j) {
-		return nil
-	}
-	return c.pickAmong(j, t, true)
+	return c.pickAmong(j, t, true, inTime)
 }
 
-func (c *Core) pickAmong(j *job, t *task, includePaused bool) *agent {
+func (c *Core) pickAmong(j *job, t *task, includePaused, inTime bool) (*agent, placement) {
 	timeLeft := float64(j.received+j.objective()-overhead-c.now) * fitMargin
+	result := noCapacity
 	var best *agent
 	bestMeets, bestRunTime := false, 0.0
 	for _, a := range c.agentList {
@@ -189,6 +211,10 @@
 		}
 		predicted := c.runTime(j, a)
 		meets := predicted <= timeLeft
+		if inTime && !meets {
+			result = tooSlow
+			continue
+		}
 		better := best == nil || meets && !bestMeets
 		if !better && meets == bestMeets {
 			better = predicted < bestRunTime
@@ -203,7 +229,7 @@
 			best, bestMeets, bestRunTime = a, meets, predicted
 		}
 	}
-	return best
+	return best, result
 }
 
 // similar reports whether two predicted run times differ by less than the
--- a/pool/scheduler/queue.go
+++ b/pool/scheduler/queue.go
@@ -19,6 +19,11 @@
 // queue holds the statistics of one queue.
 type queue struct {
 	fleet *fleet
+	// urgent is set if the queue's jobs are urgent.
+	urgent bool
+	// eligibleAt is the last time at which an endpoint was known to take the
+	// queue's tasks, or the time of its first job.
+	eligibleAt time.Duration
 	// logBias is the moving average of the logarithm of run time over estimate.
 	logBias float64
 	// offeredLoad is the load that the queue's callers submit.
@@ -51,7 +56,7 @@
 func (c *Core) queueOf(name string) *queue {
 	q := c.queues[name]
 	if q == nil {
-		q = &queue{fleet: &c.fleet, offeredLoad: decayingRate{timeConstant: loadTimeConstant, updatedAt: c.now}}
+		q = &queue{fleet: &c.fleet, eligibleAt: c.now, offeredLoad: decayingRate{timeConstant: loadTimeConstant, updatedAt: c.now}}
 		c.queues[name] = q
 	}
 	return q
