Endpoints that have turned slow get one task at a time

Change: the learned slowness follows reported slowdowns and single run times within a factor of 1.6 and 2. An idle endpoint that counts as twice as slow as the median gets one task after 500 ms without news. A single run reports a slowdown from a factor of 4 on. A task waits for a busy endpoint on which it is in time rather than start where its run time would be 1.5 times what is left.

--- a/pool/executor/executor_test.go
+++ b/pool/executor/executor_test.go
@@ -396,3 +396,28 @@
 		t.Errorf("order on a reinstated session was not started: ends %+v", r.ends())
 	}
 }
+
+// TestSlowdownOfASingleRunIsReported: an endpoint that gets few tasks because it
+// counts as slow shows by a single run that it still is; a wrong estimate alone is
+// no slowdown.
+func TestSlowdownOfASingleRunIsReported(t *testing.T) {
+	for percent, want := range map[float64]bool{2: true, 12: false} {
+		r := readyHarness(t)
+		r.seq++
+		r.step(OrdersReceived{Session: 1, Orders: &message.RunOrders{Seq: r.seq, ReportTimestamp: r.reportTimestamp[1], Starts: []message.RunStart{{
+			Job: "a", Need: message.Resources{MilliCPU: 1000}, EstimateMillis: 200, Runs: []message.TaskRun{{Number: 1}},
+		}}}})
+		start := actionsOf[StartCall](r)[0]
+		r.step(StartAnswered{Call: start.Call, Run: start.Run, Result: StartAccepted, Clock: Clock{6000, true}})
+		r.now += 50 * time.Millisecond
+		r.step(PollAnswered{Call: r.core.endpoint.waitingPoll, Result: PollAccepted, EndpointIncarnation: 1,
+			Running: []AliveRun{{Run: start.Run, Percent: percent}}, Clock: Clock{6050, true}})
+		reported := false
+		for _, report := range actionsOf[SendReport](r) {
+			reported = reported || report.Report.Slowdown > 0
+		}
+		if reported != want {
+			t.Errorf("%v %% of 200 ms after 50 ms: slowdown reported %v", percent, reported)
+		}
+	}
+}
--- a/pool/executor/slowdown.go
+++ b/pool/executor/slowdown.go
@@ -10,6 +10,9 @@
 	// minSlowdownRuns is the minimum number of runs from which a slowdown is
 	// computed: estimates of single jobs are off by 40 %.
 	minSlowdownRuns = 3
+	// certainSlowdown is the ratio from which fewer runs will do: no error of an
+	// estimate explains it.
+	certainSlowdown = 4
 	// minSlowdownAge is the minimum age of a run that enters the slowdown: a few
 	// percent of the duration of the shortest common task.
 	minSlowdownAge = 20 * time.Millisecond
@@ -22,7 +25,7 @@
 
 // slowdown returns the median, over the current runs, of the projected duration
 // divided by the estimated one; 0 when fewer than minSlowdownRuns runs have
-// usable progress. It exposes a slow endpoint long before its runs are overdue.
+// usable progress and one of them is below certainSlowdown. It exposes a slow endpoint long before its runs are overdue.
 func (c *Core) slowdown() float64 {
 	var ratios []float64
 	for _, r := range c.runs.All() {
@@ -33,10 +36,10 @@
 		done := max(r.percent/100, 0.5/100)
 		ratios = append(ratios, min(float64(age)/done/float64(r.estimate), maxSlowdown))
 	}
-	if len(ratios) < minSlowdownRuns {
+	slices.Sort(ratios)
+	if len(ratios) == 0 || len(ratios) < minSlowdownRuns && ratios[0] < certainSlowdown {
 		return 0
 	}
-	slices.Sort(ratios)
 	return ratios[len(ratios)/2]
 }
 
--- a/pool/scheduler/agent.go
+++ b/pool/scheduler/agent.go
@@ -27,10 +27,18 @@
 	maxLogRatio = 2.5
 	// slowdownValidity is how long a reported slowdown is used.
 	slowdownValidity = 300 * time.Millisecond
-	// maxSlowdownDeviation is the factor by which the predicted slowness may
-	// differ from the reported slowdown; beyond it the slowdown limits the
-	// prediction. Estimates of single jobs are off by 40 %.
+	// maxSlowdownDeviation is the factor by which the learned slowness and the
+	// predicted one may differ from the reported slowdown; beyond it the slowdown
+	// limits both. Estimates of single jobs are off by 40 %.
 	maxSlowdownDeviation = 1.6
+	// maxRunDeviation is the same for the run time of a single task.
+	maxRunDeviation = 2
+	// probeInterval is how long an idle endpoint that counts as slow stays without
+	// news before it gets one task, whose run time shows whether it still is.
+	probeInterval = 500 * time.Millisecond
+	// probedSlowness is the slowness, relative to the median endpoint, above which
+	// an endpoint gets so few tasks that it has to be probed.
+	probedSlowness = 2
 	// minOverrunSamples is the minimum number of runs from which an overrun is
 	// derived.
 	minOverrunSamples = 3
@@ -83,8 +91,9 @@
 	overrun float64
 
 	// logSlowness is the moving average of the logarithm of run time over
-	// expected run time.
-	logSlowness float64
+	// expected run time; speedKnownAt is the time of the last news on it.
+	logSlowness  float64
+	speedKnownAt time.Duration
 	// failures counts consecutive failed jobs; lastFailedJob is the last one's ID.
 	failures      int
 	lastFailedJob string
@@ -141,13 +150,28 @@
 // the learned factors applied to the estimate, limited by the reported slowdown
 // of the agent's current runs.
 func (c *Core) runTime(j *job, a *agent) float64 {
-	factor := j.queue.bias() * a.slowness() * max(1, a.overrun)
+	slowness := a.slowness()
+	if c.probeDue(a) {
+		slowness = c.fleet.medianSlowness
+	}
+	factor := j.queue.bias() * slowness * max(1, a.overrun)
 	if a.slowdown > 0 && c.now-a.slowdownAt < slowdownValidity {
 		factor = min(max(factor, a.slowdown/maxSlowdownDeviation), a.slowdown*maxSlowdownDeviation)
 	}
 	return float64(j.Estimate) * factor
 }
 
+// probeDue reports whether an endpoint that counts as slow should get one task as
+// if it were not: it runs nothing, so that nothing else would show its recovery.
+func (c *Core) probeDue(a *agent) bool {
+	return a.slowness() > probedSlowness*c.fleet.medianSlowness && a.runs.Len() == 0 && c.now-a.speedKnownAt > probeInterval
+}
+
+// limitSlowness keeps the learned slowness within a factor of an observed one.
+func (a *agent) limitSlowness(observed, factor float64) {
+	a.logSlowness = min(max(a.logSlowness, math.Log(observed/factor)), math.Log(observed*factor))
+}
+
 func (c *Core) connect(ev AgentConnected) {
 	a := c.agents[ev.Agent]
 	if a == nil {
@@ -263,6 +287,10 @@
 	a.reportTimestamp = report.Timestamp
 	a.free = report.Free
 	a.slowdown, a.slowdownAt = report.Slowdown, c.now
+	if report.Slowdown > 0 {
+		a.limitSlowness(report.Slowdown, maxSlowdownDeviation)
+		a.speedKnownAt = c.now
+	}
 	a.unacked = slices.DeleteFunc(a.unacked, func(u unackedOrder) bool { return u.seq <= report.OrdersSeq })
 	if report.Endpoint != nil {
 		c.updateEndpoint(a, report.Endpoint)
@@ -339,6 +367,8 @@
 	residual := math.Log(ratio) - r.job.queue.logBias
 	residual = min(max(residual, -maxLogRatio), maxLogRatio)
 	r.agent.logSlowness += slownessWeight * (residual - r.agent.logSlowness)
+	r.agent.limitSlowness(math.Exp(residual), maxRunDeviation)
+	r.agent.speedKnownAt = c.now
 }
 
 // recordSuccess and recordFailure keep the agent's failure count. Failures of
--- a/pool/scheduler/overload_test.go
+++ b/pool/scheduler/overload_test.go
@@ -148,3 +148,31 @@
 	is.True(j.answer.Failed)                       // not completed
 	is.Equal(j.answer.Verdict, verdict.MayHaveRun) // two of its tasks have started
 }
+
+// TestSlowEndpointGetsOnlyProbes guards against jobs that are late because a slow
+// endpoint gets a full load of tasks each time that nothing runs there and nothing
+// is reported of it: it gets one task at a time, and all it can take after it has
+// recovered.
+func TestSlowEndpointGetsOnlyProbes(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 4, 64000)
+	slow := sim.agents[0]
+	slow.slowFactor = 6
+	light := map[jobKind]float64{check: 4, label: 10}
+	sim.report(0, &message.RunReport{Slowdown: 6})
+	sim.load(500*time.Millisecond, light)
+	most := 0
+	for end := sim.now + 4*time.Second; sim.now < end; {
+		sim.load(simulationTick, light)
+		most = max(most, len(slow.running))
+	}
+	is.True(most == 1) // one task shows that it is still slow
+	slow.slowFactor = 1
+	sim.load(3*time.Second, light)
+	busy := 0
+	for end := sim.now + 2*time.Second; sim.now < end; {
+		sim.load(simulationTick, map[jobKind]float64{check: 8, label: 80})
+		busy = max(busy, len(slow.running))
+	}
+	is.True(busy > 4) // it has recovered
+}
--- a/pool/scheduler/place.go
+++ b/pool/scheduler/place.go
@@ -17,6 +17,10 @@
 	// fitMargin is the share of the remaining time that a placement may use:
 	// run times of similar tasks differ by about 15 %.
 	fitMargin = 0.9
+	// hopelessFactor is the multiple of the remaining time above which a task's
+	// predicted run time is so long that the task rather waits for a busy endpoint
+	// on which it would be in time.
+	hopelessFactor = 1.5
 	// backfillTime is how long smaller tasks may start before a larger one that
 	// fits nowhere: at usual load about ten tasks end in this time.
 	backfillTime = 20 * time.Millisecond
@@ -189,9 +193,9 @@
 
 // pick returns the agent with the slowest endpoint on which the job still meets
 // its objective, so that fast ones stay free for tasks that need them; if there
-// is none, the fastest, unless inTime is set. Paused agents are used only if no
-// other agent is eligible. It returns nil and the reason if no agent can take the
-// task now.
+// is none, the fastest, unless inTime is set or that one is hopelessly slow. Paused
+// agents are used only if no other agent is eligible. It returns nil and the reason
+// if no agent can take the task now.
 func (c *Core) pick(j *job, t *task, inTime bool) (*agent, placement) {
 	a, result := c.pickAmong(j, t, false, inTime)
 	if a != nil || c.anyEligible(j) {
@@ -204,13 +208,17 @@
 	timeLeft := float64(j.received+j.objective()-overhead-c.now) * fitMargin
 	result := noCapacity
 	var best *agent
-	bestMeets, bestRunTime := false, 0.0
+	bestMeets, bestRunTime, busyMeets := false, 0.0, false
 	for _, a := range c.agentList {
-		if !c.eligible(a, j, includePaused) || slices.Contains(t.avoid, a) || !j.Need.Fits(a.freeCapacity()) || c.atSpreadLimit(j, a) {
+		if !c.eligible(a, j, includePaused) || slices.Contains(t.avoid, a) || c.atSpreadLimit(j, a) {
 			continue
 		}
 		predicted := c.runTime(j, a)
 		meets := predicted <= timeLeft
+		if !j.Need.Fits(a.freeCapacity()) {
+			busyMeets = busyMeets || meets
+			continue
+		}
 		if inTime && !meets {
 			result = tooSlow
 			continue
@@ -229,6 +237,9 @@
 			best, bestMeets, bestRunTime = a, meets, predicted
 		}
 	}
+	if best != nil && !j.late && busyMeets && bestRunTime > hopelessFactor*timeLeft {
+		return nil, tooSlow
+	}
 	return best, result
 }
 
