Emulator: play a pool in simulated time, marjoramlug simulate

The real cores of entries and agents with models of endpoints, callers, the network, processors and faults, in discrete events from a seed. Experiments are checked YAML files; each fault names its field and what is allowed.

pool/subset is the moved selection of an agent's entries, which the emulator needs too.

--- a/command/command.go
+++ b/command/command.go
@@ -32,6 +32,7 @@
 	Standin  standinCommand  `cmd:"" help:"Run a stand-in of the platform's log or of an endpoint."`
 	Demo     demoCommand     `cmd:"" help:"Run a whole system in one process and submit jobs to it."`
 	Load     loadCommand     `cmd:"" help:"Send an open loop of jobs to a system and report."`
+	Simulate simulateCommand `cmd:"" help:"Play a pool in simulated time and report."`
 	Slopes   slopesCommand   `cmd:"" help:"Measure what each role costs per agent, start, job and record."`
 	Job      jobCommand      `cmd:"" help:"Submit, look up or cancel a job."`
 	Config   configCommand   `cmd:"" help:"Read and change services."`
--- /dev/null
+++ b/emulator/endpoint.go
@@ -0,0 +1,269 @@
+package emulator
+
+import (
+	"math"
+	"time"
+
+	"marjoramlug.example/marjoramlug/kernel"
+	"marjoramlug.example/marjoramlug/message"
+	"marjoramlug.example/marjoramlug/pool/executor"
+)
+
+const (
+	// callDelay is the one-way delay of a call between an agent and its endpoint on
+	// the same worker.
+	callDelay = time.Millisecond
+	// announceInterval is the interval between announcements of an endpoint.
+	announceInterval = 1500 * time.Millisecond
+	// The delay of a call that is carried out late lies between minLateDelay and
+	// maxLateDelay.
+	minLateDelay = 2 * time.Second
+	maxLateDelay = 12 * time.Second
+)
+
+// endpoint is the model of an endpoint: it starts what it is told to, works on its
+// runs at its speed, ends them when their lease expires, and checks fences and run
+// numbers.
+type endpoint struct {
+	sim      *simulation
+	agent    *agentNode
+	capacity message.Resources
+	slowness float64
+	// unanswered is the share of calls that get no answer.
+	unanswered float64
+
+	seq     int64
+	fence   int64
+	leaseAt time.Duration
+	runs    kernel.OrderedMap[message.RunRef, *endpointRun]
+	used    message.Resources
+	ended   []executor.EndedRun
+	lastEnd int64
+	highest map[taskKey]int64
+	// waiting answers the poll that waits for the end of a run.
+	waiting func()
+}
+
+type taskKey struct {
+	job  string
+	task int
+}
+
+type endpointRun struct {
+	ref message.RunRef
+	job *job
+	// left is the work that is left at worksSince, as run time on an endpoint of
+	// slowness 1.
+	left       time.Duration
+	worksSince time.Duration
+	// plan numbers the planned ends: an earlier one is void.
+	plan int
+}
+
+func keyOf(ref message.RunRef) taskKey { return taskKey{ref.Job, ref.Task} }
+
+// clock returns the endpoint's clock in milliseconds.
+func (e *endpoint) clock() int64 { return e.sim.clock.now.Milliseconds() }
+
+func (e *endpoint) announce() {
+	e.seq++
+	e.agent.deliver(executor.EndpointAnnounced{
+		Name: e.agent.name, EndpointIncarnation: 1, Seq: e.seq, Service: service, Capacity: e.capacity, ClockMillis: e.clock(),
+	})
+}
+
+// call carries out a call of the agent and delivers its answer, or that there was
+// none.
+func (e *endpoint) call(timeout time.Duration, answered func() executor.Event, none executor.Event) {
+	life := e.agent.life
+	reply := func(ev executor.Event) {
+		e.sim.clock.after(callDelay, func() {
+			if e.agent.life == life {
+				e.agent.deliver(ev)
+			}
+		})
+	}
+	if e.unanswered > 0 && e.sim.random.Float64() < e.unanswered {
+		late := minLateDelay + time.Duration(e.sim.random.Float64()*float64(maxLateDelay-minLateDelay))
+		e.sim.clock.after(late, func() { answered() })
+		e.sim.clock.after(timeout, func() { reply(none) })
+		return
+	}
+	e.sim.clock.after(callDelay, func() { reply(answered()) })
+}
+
+func (e *endpoint) start(c executor.StartCall) executor.Event {
+	answer := executor.StartAnswered{
+		Call: c.Call, Run: c.Run, EndpointIncarnation: 1, Clock: executor.Clock{Millis: e.clock(), Known: true},
+	}
+	if c.Fence < e.fence {
+		answer.Result = executor.StartFenced
+		return answer
+	}
+	e.fence = c.Fence
+	switch {
+	case e.runs.Has(c.Run):
+		answer.Result = executor.StartAccepted
+	case e.highest[keyOf(c.Run)] >= c.Run.Number:
+		answer.Result = executor.StartOutdated
+	case c.UntilMillis < e.clock():
+		answer.Result = executor.StartExpired
+	default:
+		answer.Result = executor.StartAccepted
+		e.extend(c.UntilMillis)
+		e.begin(c.Run)
+	}
+	return answer
+}
+
+func (e *endpoint) begin(ref message.RunRef) {
+	j := e.sim.jobs[ref.Job]
+	r := &endpointRun{ref: ref, job: j, left: j.works[ref.Task], worksSince: e.sim.clock.now}
+	e.runs.Set(ref, r)
+	e.sim.result.Starts++
+	e.used = e.used.Plus(j.need)
+	if !e.used.Fits(e.capacity) {
+		e.sim.result.OverCapacity++
+	}
+	e.sim.aliveRuns[keyOf(ref)]++
+	if e.sim.aliveRuns[keyOf(ref)] > 1 {
+		e.sim.result.Overlaps++
+	}
+	e.planEnd(r)
+}
+
+// planEnd adds the event of a run's end at the present speed.
+func (e *endpoint) planEnd(r *endpointRun) {
+	r.plan++
+	plan := r.plan
+	e.sim.clock.after(time.Duration(float64(r.left)*e.slowness), func() {
+		if r.plan == plan && e.runs.Has(r.ref) {
+			e.end(r, message.RunDone)
+		}
+	})
+}
+
+// setSlowness changes the speed at which the runs go on.
+func (e *endpoint) setSlowness(slowness float64) {
+	for _, r := range e.runs.All() {
+		r.left -= time.Duration(float64(e.sim.clock.now-r.worksSince) / e.slowness)
+		r.worksSince = e.sim.clock.now
+	}
+	e.slowness = slowness
+	for _, r := range e.runs.All() {
+		e.planEnd(r)
+	}
+}
+
+func (e *endpoint) end(r *endpointRun, outcome message.RunOutcome) {
+	e.runs.Delete(r.ref)
+	e.used = e.used.Minus(r.job.need)
+	if e.sim.aliveRuns[keyOf(r.ref)]--; e.sim.aliveRuns[keyOf(r.ref)] == 0 {
+		delete(e.sim.aliveRuns, keyOf(r.ref))
+	}
+	r.plan++
+	e.lastEnd++
+	e.ended = append(e.ended, executor.EndedRun{Seq: e.lastEnd, Run: r.ref, Outcome: outcome})
+	e.recordNumber(r.ref)
+	if e.waiting != nil {
+		e.waiting()
+	}
+}
+
+func (e *endpoint) recordNumber(ref message.RunRef) {
+	e.highest[keyOf(ref)] = max(e.highest[keyOf(ref)], ref.Number)
+}
+
+func (e *endpoint) stop(c executor.StopCall) executor.Event {
+	answer := executor.StopAnswered{Call: c.Call, Run: c.Run, Clock: executor.Clock{Millis: e.clock(), Known: true}}
+	if c.Fence < e.fence {
+		return answer
+	}
+	e.fence, answer.Accepted = c.Fence, true
+	e.recordNumber(c.Run)
+	if r := e.runs.Get(c.Run); r != nil {
+		e.end(r, message.RunStopped)
+	}
+	return answer
+}
+
+// poll answers a poll at once if there is an end to list or it may not wait;
+// otherwise with the next end or after its wait.
+func (e *endpoint) poll(c executor.PollCall) {
+	life := e.agent.life
+	answered := false
+	answer := func() {
+		if answered {
+			return
+		}
+		answered, e.waiting = true, nil
+		result := e.list(c)
+		e.sim.clock.after(callDelay, func() {
+			if e.agent.life == life {
+				e.agent.deliver(result)
+			}
+		})
+	}
+	if e.unanswered > 0 && e.sim.random.Float64() < e.unanswered {
+		e.sim.clock.after(c.Timeout, func() {
+			if e.agent.life == life {
+				e.agent.deliver(executor.PollAnswered{Call: c.Call, Result: executor.PollNoAnswer})
+			}
+		})
+		return
+	}
+	e.sim.clock.after(callDelay, func() {
+		if c.Fence < e.fence {
+			answer()
+			return
+		}
+		e.fence = c.Fence
+		if c.UntilMillis > 0 {
+			e.extend(c.UntilMillis)
+		}
+		for len(e.ended) > 0 && e.ended[0].Seq <= c.SeenUpTo {
+			e.ended = e.ended[1:]
+		}
+		if len(e.ended) > 0 || c.WaitMillis == 0 {
+			answer()
+			return
+		}
+		e.waiting = answer
+		e.sim.clock.after(time.Duration(c.WaitMillis)*time.Millisecond, answer)
+	})
+}
+
+func (e *endpoint) list(c executor.PollCall) executor.PollAnswered {
+	result := executor.PollAnswered{
+		Call: c.Call, Result: executor.PollAccepted, EndpointIncarnation: 1, Clock: executor.Clock{Millis: e.clock(), Known: true},
+	}
+	if c.Fence < e.fence {
+		result.Result = executor.PollFenced
+		return result
+	}
+	result.Ended = append(result.Ended, e.ended...)
+	for ref, r := range e.runs.All() {
+		worked := float64(e.sim.clock.now-r.worksSince) / e.slowness
+		total := float64(r.job.works[ref.Task])
+		percent := math.Floor(100 * (1 - (float64(r.left)-worked)/total))
+		result.Running = append(result.Running, executor.AliveRun{Run: ref, Percent: min(percent, 99)})
+	}
+	return result
+}
+
+// extend extends the leases of all runs up to a time on the endpoint's clock.
+func (e *endpoint) extend(untilMillis int64) {
+	until := min(time.Duration(untilMillis)*time.Millisecond, e.sim.clock.now+lease)
+	if until <= e.leaseAt {
+		return
+	}
+	e.leaseAt = until
+	e.sim.clock.at(until, func() {
+		if e.leaseAt > until {
+			return
+		}
+		for _, r := range e.runs.All() {
+			e.end(r, message.RunLost)
+		}
+	})
+}
--- /dev/null
+++ b/emulator/experiment.go
@@ -0,0 +1,182 @@
+// Package emulator plays a pool in simulated time: the cores of entries and agents
+// with models of endpoints, callers, the network and faults. A run is repeatable
+// from its seed.
+package emulator
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"marjoramlug.example/marjoramlug/validation"
+)
+
+// Experiment describes a fleet, its load and the faults that strike it.
+type Experiment struct {
+	// Length is how long callers submit jobs; the run ends when all are answered.
+	Length time.Duration `yaml:"length" validate:"gt=0,lte=600000000000"`
+	// Seeds are the seeds to play, one run each.
+	Seeds []int64 `yaml:"seeds" validate:"required,min=1,max=1000,dive,gte=0"`
+	Fleet Fleet   `yaml:"fleet"`
+	// Classes are the kinds of job; each is a queue of its own.
+	Classes []Class `yaml:"classes" validate:"required,min=1,dive"`
+	Faults  []Fault `yaml:"faults,omitempty" validate:"dive"`
+}
+
+// Fleet describes entries, agents and the network between them.
+type Fleet struct {
+	Entries []EntryGroup    `yaml:"entries" validate:"required,min=1,dive"`
+	Agents  []EndpointGroup `yaml:"agents" validate:"required,min=1,dive"`
+	// Fanout is the number of entries that an agent works for in a pool of more than
+	// five. Default 3.
+	Fanout int `yaml:"fanout,omitempty" validate:"gte=0,lte=1000"`
+	// Delay is the one-way delay between an entry and an agent. Default 1 ms.
+	Delay time.Duration `yaml:"delay,omitempty" validate:"gte=0,lte=1000000000"`
+}
+
+// EntryGroup is a number of entries of the same size.
+type EntryGroup struct {
+	Count int `yaml:"count" validate:"gt=0,lte=1000"`
+	// Cores is the processor that one entry has, in cores.
+	Cores float64 `yaml:"cores" validate:"gt=0,lte=64"`
+	// Weight is the share of the callers that one entry gets, relative to others.
+	// Default 1.
+	Weight float64 `yaml:"weight,omitempty" validate:"gte=0,lte=1000"`
+}
+
+// EndpointGroup is a number of agents with endpoints of the same kind.
+type EndpointGroup struct {
+	Count int `yaml:"count" validate:"gt=0,lte=10000"`
+	// Cores is the capacity of the endpoint.
+	Cores float64 `yaml:"cores" validate:"gt=0,lte=1024"`
+	// Slowness multiplies run times. Default 1.
+	Slowness float64 `yaml:"slowness,omitempty" validate:"gte=0,lte=100"`
+}
+
+// Class is a kind of job.
+type Class struct {
+	Name string `yaml:"name" validate:"required,max=64"`
+	// Rate is the number of jobs a second.
+	Rate   float64 `yaml:"rate" validate:"gt=0,lte=100000"`
+	Urgent bool    `yaml:"urgent,omitempty"`
+	// Tasks is the mean number of tasks, Cores what one task takes, Work its mean run
+	// time on an endpoint of slowness 1.
+	Tasks int           `yaml:"tasks" validate:"gt=0,lte=1900"`
+	Cores float64       `yaml:"cores" validate:"gt=0,lte=1024"`
+	Work  time.Duration `yaml:"work" validate:"gt=0,lte=60000000000"`
+	// Spread is the standard deviation of the logarithm of run times, EstimateError
+	// the same of the callers' estimates. Defaults 0.4 and 0.3.
+	Spread        float64 `yaml:"spread,omitempty" validate:"gte=0,lte=2"`
+	EstimateError float64 `yaml:"estimate_error,omitempty" validate:"gte=0,lte=2"`
+	// Stretch and Slack set the objective of a job: Stretch times the run time of its
+	// longest task, and Slack. Defaults 1.6 and 60 ms.
+	Stretch float64       `yaml:"stretch,omitempty" validate:"gte=0,lte=100"`
+	Slack   time.Duration `yaml:"slack,omitempty" validate:"gte=0,lte=60000000000"`
+	// Value is the worth of a job in time. A job within three times its objective
+	// earns a fifth of it.
+	Value float64 `yaml:"value" validate:"gt=0"`
+}
+
+// Fault strikes a share of the fleet for some time.
+type Fault struct {
+	At  time.Duration `yaml:"at" validate:"gte=0"`
+	For time.Duration `yaml:"for,omitempty" validate:"gte=0,lte=600000000000"`
+	// Kind is kill_entries, kill_agents, slow_endpoints, unanswered_calls or burst.
+	Kind string `yaml:"kind" validate:"required,oneof=kill_entries kill_agents slow_endpoints unanswered_calls burst"`
+	// Share is the share of the entries or agents that are struck. Default 1.
+	Share float64 `yaml:"share,omitempty" validate:"gte=0,lte=1"`
+	// Factor is how many times slower endpoints run or how many times more jobs come;
+	// of unanswered_calls it is the share of calls.
+	Factor float64 `yaml:"factor,omitempty" validate:"gte=0,lte=100"`
+	// Class is the class of a burst; all classes if empty.
+	Class string `yaml:"class,omitempty"`
+}
+
+// Load reads an experiment from a YAML file and checks it.
+func Load(path string) (*Experiment, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read experiment: %w", err)
+	}
+	x, err := Parse(data)
+	if err != nil {
+		return nil, fmt.Errorf("%s:\n%w", path, err)
+	}
+	return x, nil
+}
+
+// Parse decodes and checks an experiment and sets its defaults. It returns all
+// faults together, each with the path of its field.
+func Parse(data []byte) (*Experiment, error) {
+	x := new(Experiment)
+	if err := validation.DecodeAndCheck(data, x, x.setDefaults); err != nil {
+		return nil, err
+	}
+	if faults := x.impossible(); len(faults) > 0 {
+		return nil, faults
+	}
+	return x, nil
+}
+
+func (x *Experiment) setDefaults() {
+	setDefault(&x.Fleet.Fanout, 3)
+	setDefault(&x.Fleet.Delay, time.Millisecond)
+	for i := range x.Fleet.Entries {
+		setDefault(&x.Fleet.Entries[i].Weight, 1)
+	}
+	for i := range x.Fleet.Agents {
+		setDefault(&x.Fleet.Agents[i].Slowness, 1)
+	}
+	for i := range x.Classes {
+		c := &x.Classes[i]
+		setDefault(&c.Spread, 0.4)
+		setDefault(&c.EstimateError, 0.3)
+		setDefault(&c.Stretch, 1.6)
+		setDefault(&c.Slack, 60*time.Millisecond)
+	}
+	for i := range x.Faults {
+		setDefault(&x.Faults[i].Share, 1)
+	}
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// impossible returns the faults that concern several fields.
+func (x *Experiment) impossible() validation.Faults {
+	var faults validation.Faults
+	largest := 0.0
+	for _, g := range x.Fleet.Agents {
+		largest = max(largest, g.Cores)
+	}
+	names := map[string]bool{}
+	for i, c := range x.Classes {
+		if c.Cores > largest {
+			faults = append(faults, validation.Fault{
+				Path: fmt.Sprintf("classes[%d].cores", i), Value: fmt.Sprint(c.Cores),
+				Expected: fmt.Sprintf("at most %v, the capacity of the largest endpoint", largest),
+			})
+		}
+		if names[c.Name] {
+			faults = append(faults, validation.Fault{Path: fmt.Sprintf("classes[%d].name", i), Value: c.Name, Expected: "a name that no other class has"})
+		}
+		names[c.Name] = true
+	}
+	for i, f := range x.Faults {
+		path := fmt.Sprintf("faults[%d].", i)
+		if f.Kind == "burst" && f.Class != "" && !names[f.Class] {
+			faults = append(faults, validation.Fault{Path: path + "class", Value: f.Class, Expected: "the name of a class"})
+		}
+		if f.Factor == 0 && f.Kind != "kill_entries" && f.Kind != "kill_agents" {
+			faults = append(faults, validation.Fault{Path: path + "factor", Value: "0", Expected: "more than 0 for " + f.Kind})
+		}
+		if f.Kind == "unanswered_calls" && f.Factor > 1 {
+			faults = append(faults, validation.Fault{Path: path + "factor", Value: fmt.Sprint(f.Factor), Expected: "a share of 0 to 1"})
+		}
+	}
+	return faults
+}
--- a/pool/node/agent.go
+++ b/pool/node/agent.go
@@ -7,6 +7,7 @@
 
 	"marjoramlug.example/marjoramlug/message"
 	"marjoramlug.example/marjoramlug/pool/executor"
+	"marjoramlug.example/marjoramlug/pool/subset"
 	"marjoramlug.example/marjoramlug/settings"
 	"marjoramlug.example/marjoramlug/telemetry"
 	"marjoramlug.example/marjoramlug/transport"
@@ -104,7 +105,7 @@
 // SetEntries replaces the addresses of the entries. The agent connects to the ones
 // that it prefers, up to its connection limit.
 func (a *Agent) SetEntries(addresses []string) {
-	a.dialer.set(a.ctx, preference(a.settings.Name, addresses), connectionLimit(len(addresses), a.settings.Fanout))
+	a.dialer.set(a.ctx, subset.Preference(a.settings.Name, addresses), subset.Limit(len(addresses), a.settings.Fanout))
 }
 
 // Announce processes an endpoint's announcement of itself and returns when it has
--- a/pool/node/subset.go
+++ b/pool/subset/subset.go
@@ -1,4 +1,5 @@
-package node
+// Package subset selects the entries that an agent works for.
+package subset
 
 import (
 	"cmp"
@@ -12,21 +13,21 @@
 // the sessions.
 const smallPool = 5
 
-// connectionLimit returns the number of entries that an agent connects to; 0 means
+// Limit returns the number of entries that an agent connects to; 0 means
 // all.
-func connectionLimit(entries, fanout int) int {
+func Limit(entries, fanout int) int {
 	if entries <= smallPool {
 		return 0
 	}
 	return fanout
 }
 
-// preference returns the entries in an agent's order of preference, computed by
+// Preference returns the entries in an agent's order of preference, computed by
 // rendezvous hashing. Each agent connects only to its first few entries, so that
 // the number of sessions per entry does not grow with the fleet. The order differs
 // from agent to agent, so that each entry gets its share of the agents and shares
 // them with varying other entries.
-func preference(agent string, entries []string) []string {
+func Preference(agent string, entries []string) []string {
 	ordered := slices.Clone(entries)
 	weight := func(entry string) uint64 { return xxhash.Sum64String(agent + "\x00" + entry) }
 	slices.SortFunc(ordered, func(a, b string) int {
--- a/pool/node/subset_test.go
+++ b/pool/subset/subset_test.go
@@ -1,4 +1,4 @@
-package node
+package subset
 
 import (
 	"fmt"
@@ -16,7 +16,7 @@
 	}
 	sessions := map[string]int{}
 	for a := range agents {
-		for _, entry := range preference(fmt.Sprintf("side-%d", a), list)[:fanout] {
+		for _, entry := range Preference(fmt.Sprintf("side-%d", a), list)[:fanout] {
 			sessions[entry]++
 		}
 	}
@@ -33,15 +33,15 @@
 // endpoints.
 func TestEntriesOfASmallPoolUseAllEndpoints(t *testing.T) {
 	for entries, want := range map[int]int{1: 0, 4: 0, smallPool: 0, smallPool + 1: 3, 14: 3} {
-		if got := connectionLimit(entries, 3); got != want {
+		if got := Limit(entries, 3); got != want {
 			t.Errorf("%d entries: limit %d, want %d", entries, got, want)
 		}
 	}
 }
 
 func TestPreferenceIsStable(t *testing.T) {
-	with := preference("a", []string{"x", "y", "z", "w"})
-	without := preference("a", []string{"w", "z", "y"})
+	with := Preference("a", []string{"x", "y", "z", "w"})
+	without := Preference("a", []string{"w", "z", "y"})
 	at := 0
 	for _, entry := range with {
 		if entry == "x" {
