An entry that was paused waits for its agents before it refuses

Change: the time in which an entry learns what capacity it has begins again after a pause longer than the heartbeat timeout.

--- a/pool/scheduler/admission.go
+++ b/pool/scheduler/admission.go
@@ -33,8 +33,8 @@
 	// becomes free.
 	waitMargin = 2
 	// settleTime is the time after which an entry knows the free capacity that it
-	// has: agents connect and report within some 100 ms of its start, or of the
-	// return of a service's endpoints.
+	// has: agents connect and report within some 100 ms of its start, of the end of a
+	// pause, or of the return of a service's endpoints.
 	settleTime = 500 * time.Millisecond
 )
 
@@ -52,7 +52,7 @@
 	}
 	if c.anyEligible(j) {
 		j.queue.eligibleAt = c.now
-	} else if j.late || c.now-j.queue.eligibleAt > settleTime {
+	} else if j.late || c.now-max(j.queue.eligibleAt, c.settlingSince) > settleTime {
 		c.finish(j, JobRefused, "no endpoint takes tasks")
 		return
 	}
@@ -62,7 +62,7 @@
 		latestStart := min(j.received+usefulObjectiveFactor*j.objective(), j.Deadline) - j.expectedRunTime()
 		hopeless = c.now+wait > latestStart
 	} else {
-		hopeless = c.now-c.firstStep > settleTime && c.now+waitMargin*wait > j.latestStart()
+		hopeless = c.now-c.settlingSince > settleTime && c.now+waitMargin*wait > j.latestStart()
 	}
 	if hopeless {
 		c.finish(j, JobRefused, "the wait would be "+wait.Round(time.Millisecond).String())
--- a/pool/scheduler/core.go
+++ b/pool/scheduler/core.go
@@ -55,11 +55,13 @@
 //   - A job is refused only if this entry has started none of its tasks.
 //   - Each waiter gets one answer, as soon as it is known.
 type Core struct {
-	opts       Options
-	now        time.Duration
-	firstStep  time.Duration
-	lastExpiry time.Duration
-	actions    []Action
+	opts Options
+	now  time.Duration
+	// settlingSince is the time of the first step, or of the first one after a pause
+	// of this process in which agents may have dropped this entry.
+	settlingSince time.Duration
+	lastExpiry    time.Duration
+	actions       []Action
 
 	jobs     map[string]*job
 	jobOrder []*job
@@ -128,7 +130,11 @@
 // which the machine was suspended.
 func (c *Core) Step(now time.Duration, events ...Event) []Action {
 	c.actions = nil
-	if pause := now - c.now; c.now > 0 && pause > c.opts.ResubmitDelay-pauseMargin {
+	pause := now - c.now
+	if c.now == 0 || pause > c.opts.HeartbeatTimeout {
+		c.settlingSince = now
+	}
+	if c.now > 0 && pause > c.opts.ResubmitDelay-pauseMargin {
 		c.now = now
 		c.counters.ProcessPauses++
 		c.emit(Note{What: "entry was held up", Detail: pause.String()})
@@ -136,9 +142,6 @@
 		c.interrupt("the entry was held up for " + pause.String())
 	}
 	c.now = max(c.now, now)
-	if c.firstStep == 0 {
-		c.firstStep = c.now
-	}
 	for _, ev := range events {
 		c.handle(ev)
 	}
--- a/pool/scheduler/overload_test.go
+++ b/pool/scheduler/overload_test.go
@@ -176,3 +176,30 @@
 	}
 	is.True(busy > 4) // it has recovered
 }
+
+// TestThawedEntryWaitsForItsAgents guards against refusals just after a pause of the
+// process: its agents have dropped the entry and connect again within some 100 ms,
+// and a job that arrives before them can still be in time.
+func TestThawedEntryWaitsForItsAgents(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 2, 64000)
+	sim.load(time.Second, map[jobKind]float64{label: 10})
+	sim.core.opts.HeartbeatTimeout = 400 * time.Millisecond
+	for _, a := range sim.core.agentList {
+		a.lastHeard = sim.now
+	}
+	sim.now += 2 * time.Second // the process is paused
+	j := sim.submit(label)
+	for range 100 {
+		sim.apply(Tick{})
+		sim.now += simulationTick
+	}
+	is.True(j.answer == nil) // it waits for the agents
+	sim.agents = append(sim.agents, &testAgent{name: "agent-0", capacity: 64000, slowFactor: 1, running: map[message.RunRef]*testRun{}})
+	sim.apply(AgentConnected{Session: 3, Agent: "agent-0", Incarnation: 1})
+	sim.report(2, &message.RunReport{Sync: true, Complete: true, Endpoint: &message.PoolEndpoint{
+		Name: "agent-0", Service: "s", Capacity: message.Resources{MilliCPU: 64000}, Ready: true,
+	}})
+	_, started := sim.core.Status(j.ID)
+	is.True(started)
+}
