Runs found alive by a poll have an age

One such run was enough, since single runs report slowdowns, to count a sound endpoint as slow.

Change: such a run's age counts from its last start.

--- a/pool/executor/poll.go
+++ b/pool/executor/poll.go
@@ -154,6 +154,9 @@
 		r.percent, r.percentAt = listed.Percent, c.now
 		if r.state == runUnconfirmed || r.state == runInNextIncarnation {
 			r.state = runAlive
+			if r.acceptedAt == 0 {
+				r.acceptedAt = r.startSent
+			}
 		}
 		return
 	}
--- a/pool/executor/run.go
+++ b/pool/executor/run.go
@@ -33,7 +33,8 @@
 	state   runState
 	// startSent is the time at which the last start was sent.
 	startSent time.Duration
-	// acceptedAt is the time at which the endpoint's answer to the start arrived.
+	// acceptedAt is the time at which the endpoint's answer to the start arrived, or
+	// at which the last start was sent if a poll has shown that the run is alive.
 	acceptedAt time.Duration
 	// estimate is the duration that the caller expects, percent the progress that
 	// the endpoint reported at percentAt.
--- a/pool/executor/unanswered_test.go
+++ b/pool/executor/unanswered_test.go
@@ -209,3 +209,34 @@
 	}
 	is.Equal(len(actionsOf[StopCall](r)), 1)
 }
+
+// TestRunFoundAliveReportsNoSlowdown: a run whose start was never answered is found
+// alive by a poll. Its age counts from its start, so that a sound endpoint does not
+// count as slow because of it.
+func TestRunFoundAliveReportsNoSlowdown(t *testing.T) {
+	r := readyHarness(t)
+	r.seq++
+	r.step(OrdersReceived{Session: 1, Orders: &message.RunOrders{Seq: r.seq, ReportTimestamp: r.reportTimestamp[1], Starts: []message.RunStart{{
+		Job: "a", Need: message.Resources{MilliCPU: 1000}, EstimateMillis: 200, Runs: []message.TaskRun{{Number: 1}},
+	}}}})
+	var run message.RunRef
+	for range maxStarts {
+		start := r.onlyStart()
+		run = start.Run
+		r.now += 10 * time.Millisecond
+		r.step(StartAnswered{Call: start.Call, Run: start.Run, Result: StartNoAnswer})
+	}
+	for i := range 3 {
+		percent := 10 + 25*float64(i)
+		for _, poll := range actionsOf[PollCall](r) {
+			r.now += 50 * time.Millisecond
+			r.step(PollAnswered{Call: poll.Call, Result: PollAccepted, EndpointIncarnation: 1,
+				Running: []AliveRun{{Run: run, Percent: percent}}, Clock: Clock{5010 + r.now.Milliseconds(), true}})
+			for _, report := range actionsOf[SendReport](r) {
+				if report.Report.Slowdown > 0 {
+					t.Fatalf("%v %% after %v: slowdown %v", percent, r.now, report.Report.Slowdown)
+				}
+			}
+		}
+	}
+}
