--- a/pool/executor/round_trip.go
+++ b/pool/executor/round_trip.go
@@ -3,10 +3,10 @@
 import "time"
 
 const (
-	// MaxCallTimeout is the longest wait for the answer to a call, in addition to
+	// maxCallTimeout is the longest wait for the answer to a call, in addition to
 	// the time that a poll may wait. Answers take 2 ms, and up to 100 ms on a machine
 	// with saturated CPUs.
-	MaxCallTimeout = 75 * time.Millisecond
+	maxCallTimeout = 75 * time.Millisecond
 	// minCallTimeout is the shortest one. One answer in a hundred takes 20 ms, and a
 	// call that was given up costs a connection.
 	minCallTimeout = 25 * time.Millisecond
@@ -19,6 +19,7 @@
 	lossyShare = 0.04
 	// lossWeight is the weight of a call in the moving average of that share.
 	lossWeight = 1.0 / 16
+
 	// The weights of a sample in the moving averages and of the deviation in the
 	// timeout are those of TCP's retransmission timer (RFC 6298).
 	smoothedWeight   = 0.125
@@ -58,7 +59,7 @@
 // timeout returns how long to wait for the answer to a call.
 func (r *roundTrip) timeout() time.Duration {
 	if r.smoothed == 0 {
-		return MaxCallTimeout
+		return maxCallTimeout
 	}
 	shortest := minCallTimeout
 	if r.lossy() {
@@ -66,12 +67,12 @@
 	}
 	wait := max(r.smoothed+deviationsToWait*r.deviation, shortest)
 	for range r.unanswered {
-		if wait >= MaxCallTimeout {
+		if wait >= maxCallTimeout {
 			break
 		}
 		wait *= 2
 	}
-	return min(wait, MaxCallTimeout)
+	return min(wait, maxCallTimeout)
 }
 
 // lossy reports whether the endpoint leaves calls unanswered.
--- a/pool/executor/unanswered_test.go
+++ b/pool/executor/unanswered_test.go
@@ -132,7 +132,7 @@
 func TestCallTimeoutFollowsTheRoundTrip(t *testing.T) {
 	is := is.New(t)
 	var r roundTrip
-	is.Equal(r.timeout(), MaxCallTimeout) // nothing is known yet
+	is.Equal(r.timeout(), maxCallTimeout) // nothing is known yet
 	for range 20 {
 		r.answered(2 * time.Millisecond)
 	}
@@ -144,7 +144,7 @@
 	for range 10 {
 		r.timedOut()
 	}
-	is.Equal(r.timeout(), MaxCallTimeout)
+	is.Equal(r.timeout(), maxCallTimeout)
 	for range 20 {
 		r.answered(40 * time.Millisecond)
 	}
@@ -184,7 +184,7 @@
 	polls := actionsOf[PollCall](r)
 	is.Equal(len(polls), 1)
 	is.Equal(polls[0].WaitMillis, lossyPollWait.Milliseconds())
-	is.True(polls[0].Timeout < lossyPollWait+MaxCallTimeout)
+	is.True(polls[0].Timeout < lossyPollWait+maxCallTimeout)
 	is.True(!polls[0].NewConnection)
 }
 
--- a/pool/scheduler/admission.go
+++ b/pool/scheduler/admission.go
@@ -1,8 +1,6 @@
 package scheduler
 
-import (
-	"time"
-)
+import "time"
 
 const (
 	// firstReview is the time after which a job without a started run is reviewed
