--- a/pool/scheduler/job.go
+++ b/pool/scheduler/job.go
@@ -24,7 +24,7 @@
 	answered            bool
 	// late is set once the objective can't be met any more.
 	late bool
-	// reviewAt is the time of the next review of a job without a started run.
+	// reviewAt is the time of the next review of a job with waiting tasks.
 	reviewAt time.Duration
 }
 
