Placement predicts run times only where they decide; delays double by a shift

pickAmong predicted the run time on each full endpoint, in the first pass and for late jobs too, where nothing depends on it.

--- a/pool/executor/round_trip.go
+++ b/pool/executor/round_trip.go
@@ -19,6 +19,8 @@
 	lossyShare = 0.04
 	// lossWeight is the weight of a call in the moving average of that share.
 	lossWeight = 1.0 / 16
+	// maxDoublings takes the shortest timeout beyond the longest one.
+	maxDoublings = 3
 
 	// The weights of a sample in the moving averages and of the deviation in the
 	// timeout are those of TCP's retransmission timer (RFC 6298).
@@ -66,13 +68,7 @@
 		shortest = lossyCallTimeout
 	}
 	wait := max(r.smoothed+deviationsToWait*r.deviation, shortest)
-	for range r.unanswered {
-		if wait >= maxCallTimeout {
-			break
-		}
-		wait *= 2
-	}
-	return min(wait, maxCallTimeout)
+	return min(wait<<min(r.unanswered, maxDoublings), maxCallTimeout)
 }
 
 // lossy reports whether the endpoint leaves calls unanswered.
--- a/pool/executor/slowdown.go
+++ b/pool/executor/slowdown.go
@@ -25,7 +25,8 @@
 
 // slowdown returns the median, over the current runs, of the projected duration
 // divided by the estimated one; 0 when fewer than minSlowdownRuns runs have
-// usable progress and one of them is below certainSlowdown. It exposes a slow endpoint long before its runs are overdue.
+// usable progress and one of them is below certainSlowdown. It exposes a slow
+// endpoint long before its runs are overdue.
 func (c *Core) slowdown() float64 {
 	var ratios []float64
 	for _, r := range c.runs.All() {
--- a/pool/scheduler/place.go
+++ b/pool/scheduler/place.go
@@ -213,10 +213,14 @@
 		if !c.eligible(a, j, includePaused) || slices.Contains(t.avoid, a) || c.atSpreadLimit(j, a) {
 			continue
 		}
+		fits := j.Need.Fits(a.freeCapacity())
+		if !fits && (inTime || j.late || busyMeets) {
+			continue
+		}
 		predicted := c.runTime(j, a)
 		meets := predicted <= timeLeft
-		if !j.Need.Fits(a.freeCapacity()) {
-			busyMeets = busyMeets || meets
+		if !fits {
+			busyMeets = meets
 			continue
 		}
 		if inTime && !meets {
@@ -237,7 +241,7 @@
 			best, bestMeets, bestRunTime = a, meets, predicted
 		}
 	}
-	if best != nil && !j.late && busyMeets && bestRunTime > hopelessFactor*timeLeft {
+	if best != nil && busyMeets && bestRunTime > hopelessFactor*timeLeft {
 		return nil, tooSlow
 	}
 	return best, result
