emulator: the product's timing, one way to deliver, no dead code

Drawing an entry is a function of its own; a death of an entry looks at its open requests, not at all numbers ever given. Removed: an unused outcome, an unused field, checks that could not fail.

--- a/emulator/endpoint.go
+++ b/emulator/endpoint.go
@@ -76,20 +76,27 @@
 // none.
 func (e *endpoint) call(timeout time.Duration, answered func() executor.Event, none executor.Event) {
 	life := e.agent.life
-	reply := func(ev executor.Event) {
-		e.sim.clock.after(callDelay, func() {
-			if e.agent.life == life {
-				e.agent.deliver(ev)
-			}
-		})
-	}
-	if e.unanswered > 0 && e.sim.random.Float64() < e.unanswered {
+	if e.leavesUnanswered() {
 		late := minLateDelay + time.Duration(e.sim.random.Float64()*float64(maxLateDelay-minLateDelay))
 		e.sim.clock.after(late, func() { answered() })
-		e.sim.clock.after(timeout, func() { reply(none) })
+		e.answer(life, timeout+callDelay, none)
 		return
 	}
-	e.sim.clock.after(callDelay, func() { reply(answered()) })
+	e.sim.clock.after(callDelay, func() { e.answer(life, callDelay, answered()) })
+}
+
+// leavesUnanswered draws whether the endpoint leaves a call unanswered.
+func (e *endpoint) leavesUnanswered() bool {
+	return e.unanswered > 0 && e.sim.random.Float64() < e.unanswered
+}
+
+// answer delivers an answer to the life of the agent that made the call.
+func (e *endpoint) answer(life uint64, delay time.Duration, ev executor.Event) {
+	e.sim.clock.after(delay, func() {
+		if e.agent.life == life {
+			e.agent.deliver(ev)
+		}
+	})
 }
 
 func (e *endpoint) start(c executor.StartCall) executor.Event {
@@ -197,19 +204,10 @@
 			return
 		}
 		answered, e.waiting = true, nil
-		result := e.list(c)
-		e.sim.clock.after(callDelay, func() {
-			if e.agent.life == life {
-				e.agent.deliver(result)
-			}
-		})
+		e.answer(life, callDelay, e.list(c))
 	}
-	if e.unanswered > 0 && e.sim.random.Float64() < e.unanswered {
-		e.sim.clock.after(c.Timeout, func() {
-			if e.agent.life == life {
-				e.agent.deliver(executor.PollAnswered{Call: c.Call, Result: executor.PollNoAnswer})
-			}
-		})
+	if e.leavesUnanswered() {
+		e.answer(life, c.Timeout, executor.PollAnswered{Call: c.Call, Result: executor.PollNoAnswer})
 		return
 	}
 	e.sim.clock.after(callDelay, func() {
@@ -253,7 +251,7 @@
 
 // extend extends the leases of all runs up to a time on the endpoint's clock.
 func (e *endpoint) extend(untilMillis int64) {
-	until := min(time.Duration(untilMillis)*time.Millisecond, e.sim.clock.now+lease)
+	until := min(time.Duration(untilMillis)*time.Millisecond, e.sim.clock.now+e.sim.timing.Lease)
 	if until <= e.leaseAt {
 		return
 	}
--- a/emulator/experiment.go
+++ b/emulator/experiment.go
@@ -4,6 +4,7 @@
 package emulator
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"time"
@@ -119,30 +120,26 @@
 }
 
 func (x *Experiment) setDefaults() {
-	setDefault(&x.Fleet.Fanout, 3)
-	setDefault(&x.Fleet.Delay, time.Millisecond)
+	x.Fleet.Fanout = cmp.Or(x.Fleet.Fanout, agentSettings().Fanout)
+	x.Fleet.Delay = cmp.Or(x.Fleet.Delay, time.Millisecond)
 	for i := range x.Fleet.Entries {
-		setDefault(&x.Fleet.Entries[i].Weight, 1)
+		g := &x.Fleet.Entries[i]
+		g.Weight = cmp.Or(g.Weight, 1)
 	}
 	for i := range x.Fleet.Agents {
-		setDefault(&x.Fleet.Agents[i].Slowness, 1)
+		g := &x.Fleet.Agents[i]
+		g.Slowness = cmp.Or(g.Slowness, 1)
 	}
 	for i := range x.Classes {
 		c := &x.Classes[i]
-		setDefault(&c.Spread, 0.4)
-		setDefault(&c.EstimateError, 0.3)
-		setDefault(&c.Stretch, 1.6)
-		setDefault(&c.Slack, 60*time.Millisecond)
+		c.Spread = cmp.Or(c.Spread, 0.4)
+		c.EstimateError = cmp.Or(c.EstimateError, 0.3)
+		c.Stretch = cmp.Or(c.Stretch, 1.6)
+		c.Slack = cmp.Or(c.Slack, 60*time.Millisecond)
 	}
 	for i := range x.Faults {
-		setDefault(&x.Faults[i].Share, 1)
-	}
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
+		f := &x.Faults[i]
+		f.Share = cmp.Or(f.Share, 1)
 	}
 }
 
--- a/emulator/nodes.go
+++ b/emulator/nodes.go
@@ -1,41 +1,43 @@
 package emulator
 
 import (
-	"fmt"
 	"time"
 
 	"marjoramlug.example/marjoramlug/pool/executor"
+	"marjoramlug.example/marjoramlug/pool/node"
 	"marjoramlug.example/marjoramlug/pool/scheduler"
 	"marjoramlug.example/marjoramlug/pool/subset"
+	"marjoramlug.example/marjoramlug/settings"
 )
 
 const (
 	// service is the name of the only service.
 	service = "service"
-	// The timing of the pool's settings.
-	lease            = time.Second
-	heartbeatTimeout = 400 * time.Millisecond
-	stopTime         = 50 * time.Millisecond
-	resubmitDelay    = 1300 * time.Millisecond
-	maxWaiting       = 5000
-	// entryTick and agentTick are the intervals at which the nodes advance their
-	// cores without other events.
-	entryTick = 10 * time.Millisecond
-	agentTick = 25 * time.Millisecond
-	// eventBatch is the number of events that an entry processes in one step.
-	eventBatch = 256
 	// stepCost and eventCost are the processor time of a step of an entry and of each
 	// event in it, on one core.
 	stepCost  = 60 * time.Microsecond
 	eventCost = 60 * time.Microsecond
-	// maxReconnectDelay is the longest time that an agent takes to connect to an
-	// entry.
-	maxReconnectDelay = 200 * time.Millisecond
-	// surplusInterval is the interval at which agents look for sessions with entries
-	// that they don't have to serve.
-	surplusInterval = time.Second
 )
 
+// timing is the timing of the users' pools, with the product's defaults.
+func timing() settings.Timing {
+	t := settings.Timing{Lease: time.Second, StopTime: 50 * time.Millisecond, ResubmitDelay: 1300 * time.Millisecond}
+	t.ApplyDefaults()
+	return t
+}
+
+func entrySettings() settings.PoolEntry {
+	s := settings.PoolEntry{Timing: timing()}
+	s.ApplyDefaults()
+	return s
+}
+
+func agentSettings() settings.PoolAgent {
+	s := settings.PoolAgent{Timing: timing()}
+	s.ApplyDefaults()
+	return s
+}
+
 // entryNode is an entry: its core and the events that wait for its processor.
 type entryNode struct {
 	sim    *simulation
@@ -56,9 +58,7 @@
 func (n *entryNode) boot() {
 	n.life++
 	n.alive, n.inbox, n.planned = true, nil, false
-	n.core = scheduler.New(scheduler.Options{
-		HeartbeatTimeout: heartbeatTimeout, Lease: lease, StopTime: stopTime, ResubmitDelay: resubmitDelay, MaxWaiting: maxWaiting,
-	})
+	n.core = scheduler.New(node.SchedulerOptions(entrySettings()))
 }
 
 func (n *entryNode) deliver(ev scheduler.Event) {
@@ -86,7 +86,7 @@
 // done the work.
 func (n *entryNode) step() {
 	n.planned = false
-	batch := n.inbox[:min(len(n.inbox), eventBatch)]
+	batch := n.inbox[:min(len(n.inbox), node.EventBatch)]
 	n.inbox = n.inbox[len(batch):]
 	took := time.Duration(float64(stepCost+time.Duration(len(batch))*eventCost) / n.cores)
 	n.busyUntil = n.sim.clock.now + took
@@ -149,7 +149,7 @@
 	a.alive = true
 	a.sessions, a.connecting = map[*entryNode]*link{}, map[*entryNode]bool{}
 	a.core = executor.New(executor.Options{
-		Lease: lease, HeartbeatTimeout: heartbeatTimeout, FirstFence: a.sim.clock.now.Milliseconds() + 1,
+		Lease: a.sim.timing.Lease, HeartbeatTimeout: a.sim.timing.HeartbeatTimeout, FirstFence: a.sim.clock.now.Milliseconds() + 1,
 	})
 	a.endpoint.announce()
 }
@@ -208,109 +208,3 @@
 	}
 	return list
 }
-
-// link is a session between an entry and an agent. Messages arrive in the order in
-// which they were sent.
-type link struct {
-	sim                  *simulation
-	id                   uint64
-	entry                *entryNode
-	agent                *agentNode
-	entryLife, agentLife uint64
-	// dead is set when one end has died or closed the session.
-	dead                       bool
-	agentArrival, entryArrival time.Duration
-}
-
-func (l *link) usable() bool {
-	return !l.dead && l.entry.alive && l.agent.alive && l.entry.life == l.entryLife && l.agent.life == l.agentLife
-}
-
-func (l *link) toAgent(ev executor.Event) {
-	l.agentArrival = max(l.agentArrival, l.sim.clock.now+l.sim.delay())
-	l.sim.clock.at(l.agentArrival, func() {
-		if l.usable() {
-			l.agent.deliver(ev)
-		}
-	})
-}
-
-func (l *link) toEntry(ev scheduler.Event) {
-	l.entryArrival = max(l.entryArrival, l.sim.clock.now+l.sim.delay())
-	l.sim.clock.at(l.entryArrival, func() {
-		if l.usable() {
-			l.entry.deliver(ev)
-		}
-	})
-}
-
-// close ends the session at both ends that still have it.
-func (l *link) close() {
-	if l.dead {
-		return
-	}
-	l.dead = true
-	if l.agent.life == l.agentLife {
-		delete(l.agent.sessions, l.entry)
-		l.agent.deliver(executor.SessionClosed{Session: executor.Session(l.id)})
-	}
-	if l.entry.life == l.entryLife {
-		l.entry.deliver(scheduler.AgentDisconnected{Session: scheduler.Session(l.id)})
-	}
-	l.sim.reconnect()
-}
-
-// reconnect opens the sessions that agents want and don't have.
-func (s *simulation) reconnect() {
-	for _, a := range s.agents {
-		if !a.alive {
-			continue
-		}
-		for _, n := range a.wanted() {
-			if l := a.sessions[n]; l != nil && l.usable() || a.connecting[n] {
-				continue
-			}
-			s.connect(a, n)
-		}
-	}
-}
-
-func (s *simulation) connect(a *agentNode, n *entryNode) {
-	a.connecting[n] = true
-	life := a.life
-	s.clock.after(time.Duration(s.random.Float64()*float64(maxReconnectDelay)), func() {
-		if a.life != life {
-			return
-		}
-		delete(a.connecting, n)
-		if !n.alive {
-			return
-		}
-		s.sessions++
-		l := &link{sim: s, id: s.sessions, entry: n, agent: a, entryLife: n.life, agentLife: a.life}
-		s.links[l.id] = l
-		a.sessions[n] = l
-		n.deliver(scheduler.AgentConnected{Session: scheduler.Session(l.id), Agent: a.name, Incarnation: a.life})
-		a.deliver(executor.SessionOpened{Session: executor.Session(l.id), Entry: n.name, Incarnation: n.life})
-	})
-}
-
-// releaseSurplus tells agents of sessions with entries that they don't have to serve.
-func (s *simulation) releaseSurplus() {
-	for _, a := range s.agents {
-		if !a.alive {
-			continue
-		}
-		wanted := map[*entryNode]bool{}
-		for _, n := range a.wanted() {
-			wanted[n] = true
-		}
-		for _, n := range a.preference {
-			if l := a.sessions[n]; l != nil && l.usable() && !wanted[n] {
-				a.deliver(executor.SessionSurplus{Session: executor.Session(l.id)})
-			}
-		}
-	}
-}
-
-func entryName(i int) string { return fmt.Sprintf("entry-%d", i) }
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -28,7 +28,6 @@
 	outcomeUseless
 	outcomeRefused
 	outcomeFailed
-	outcomes
 )
 
 // Result is what one run gave.
@@ -52,8 +51,6 @@
 	OverCapacity int `json:"over_capacity"`
 	// Interrupted is set when the run was ended before its time.
 	Interrupted bool `json:"interrupted,omitempty"`
-
-	length time.Duration
 }
 
 // Window is a part of a run.
@@ -80,7 +77,7 @@
 }
 
 func newResult(x *Experiment, seed int64) *Result {
-	r := &Result{Seed: seed, length: x.Length}
+	r := &Result{Seed: seed}
 	for _, c := range x.Classes {
 		r.Classes = append(r.Classes, ClassResult{Name: c.Name})
 	}
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -3,14 +3,18 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"marjoramlug.example/marjoramlug/message"
 	"marjoramlug.example/marjoramlug/pool/executor"
+	"marjoramlug.example/marjoramlug/pool/node"
 	"marjoramlug.example/marjoramlug/pool/scheduler"
 	"marjoramlug.example/marjoramlug/pool/subset"
+	"marjoramlug.example/marjoramlug/settings"
 	"marjoramlug.example/marjoramlug/verdict"
 )
 
@@ -37,6 +41,7 @@
 // simulation is one run of an experiment.
 type simulation struct {
 	experiment *Experiment
+	timing     settings.Timing
 	clock      clock
 	// random draws delays and faults, arrivals the jobs, so that the load of a seed
 	// does not depend on what becomes of it.
@@ -86,7 +91,9 @@
 
 func newSimulation(x *Experiment, seed int64) *simulation {
 	s := &simulation{
-		experiment: x, random: rand.New(rand.NewPCG(uint64(seed), 0)), arrivals: rand.New(rand.NewPCG(uint64(seed), 1)), links: map[uint64]*link{}, jobs: map[string]*job{},
+		experiment: x, timing: timing(),
+		random: rand.New(rand.NewPCG(uint64(seed), 0)), arrivals: rand.New(rand.NewPCG(uint64(seed), 1)),
+		links: map[uint64]*link{}, jobs: map[string]*job{},
 		waiters: map[scheduler.Waiter]*job{}, aliveRuns: map[taskKey]int{}, rateFactor: make([]float64, len(x.Classes)),
 		result: newResult(x, seed),
 	}
@@ -116,7 +123,7 @@
 	var addresses []string
 	for _, g := range s.experiment.Fleet.Entries {
 		for range g.Count {
-			n := &entryNode{sim: s, name: entryName(len(s.entries)), cores: g.Cores, weight: g.Weight}
+			n := &entryNode{sim: s, name: fmt.Sprintf("entry-%d", len(s.entries)), cores: g.Cores, weight: g.Weight}
 			n.boot()
 			s.entries = append(s.entries, n)
 			addresses = append(addresses, n.name)
@@ -125,7 +132,7 @@
 	byName := map[string]*entryNode{}
 	for _, n := range s.entries {
 		byName[n.name] = n
-		s.clock.every(entryTick, func() { n.deliver(scheduler.Tick{}) })
+		s.clock.every(node.EntryTick, func() { n.deliver(scheduler.Tick{}) })
 	}
 	for _, g := range s.experiment.Fleet.Agents {
 		for range g.Count {
@@ -139,7 +146,7 @@
 			}
 			a.boot()
 			s.agents = append(s.agents, a)
-			s.clock.every(agentTick, func() { a.deliver(executor.Tick{}) })
+			s.clock.every(node.AgentTick, func() { a.deliver(executor.Tick{}) })
 			s.clock.every(announceInterval, a.endpoint.announce)
 		}
 	}
@@ -205,25 +212,9 @@
 		s.perfect.submit(j)
 		return
 	}
-	total := 0.0
-	for _, n := range s.entries {
-		if n.alive {
-			total += n.weight
-		}
-	}
-	at := s.random.Float64() * total
-	j.entry = nil
-	for _, n := range s.entries {
-		if !n.alive {
-			continue
-		}
-		j.entry = n
-		if at -= n.weight; at < 0 {
-			break
-		}
-	}
+	j.entry = s.drawEntry()
 	if j.entry == nil {
-		s.clock.after(resubmitDelay, func() { s.submit(j) })
+		s.clock.after(s.timing.ResubmitDelay, func() { s.submit(j) })
 		return
 	}
 	c := &s.experiment.Classes[j.class]
@@ -244,10 +235,32 @@
 	})
 }
 
+// drawEntry returns a live entry, drawn by weight, or nil if there is none.
+func (s *simulation) drawEntry() *entryNode {
+	total := 0.0
+	for _, n := range s.entries {
+		if n.alive {
+			total += n.weight
+		}
+	}
+	at := s.random.Float64() * total
+	var drawn *entryNode
+	for _, n := range s.entries {
+		if !n.alive {
+			continue
+		}
+		drawn = n
+		if at -= n.weight; at < 0 {
+			break
+		}
+	}
+	return drawn
+}
+
 // answered ends a job, unless its caller has given up.
 func (s *simulation) answered(a scheduler.Answer) {
 	j := s.waiters[a.Waiter]
-	if j == nil || j.done || j.waiter != a.Waiter {
+	if j == nil {
 		return
 	}
 	switch {
@@ -283,17 +296,13 @@
 
 // entryDied breaks the connections of an entry's callers, which submit again.
 func (s *simulation) entryDied(n *entryNode) {
-	for waiter := scheduler.Waiter(1); waiter <= s.lastWaiter; waiter++ {
+	for _, waiter := range slices.Sorted(maps.Keys(s.waiters)) {
 		j := s.waiters[waiter]
-		if j == nil || j.entry != n || j.waiter != waiter {
+		if j.entry != n {
 			continue
 		}
 		delete(s.waiters, waiter)
 		j.waiter = 0
-		s.clock.after(resubmitDelay, func() {
-			if !j.done {
-				s.submit(j)
-			}
-		})
+		s.clock.after(s.timing.ResubmitDelay, func() { s.submit(j) })
 	}
 }
--- a/pool/node/agent.go
+++ b/pool/node/agent.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// agentTick is the interval at which an agent advances its core without other
+	// AgentTick is the interval at which an agent advances its core without other
 	// events: a quarter of its heartbeat.
-	agentTick = 25 * time.Millisecond
+	AgentTick = 25 * time.Millisecond
 	// eventQueue is the number of queued events above which senders block.
 	eventQueue = 4096
 )
@@ -80,7 +80,7 @@
 
 // Run processes events until Close is called.
 func (a *Agent) Run() {
-	ticker := time.NewTicker(agentTick)
+	ticker := time.NewTicker(AgentTick)
 	defer ticker.Stop()
 	publish := time.NewTicker(publishInterval)
 	defer publish.Stop()
--- a/pool/node/entry.go
+++ b/pool/node/entry.go
@@ -15,11 +15,11 @@
 )
 
 const (
-	// entryTick is the interval at which an entry advances its core without other
+	// EntryTick is the interval at which an entry advances its core without other
 	// events: a quarter of the time within which the shortest job must be refused.
-	entryTick = 10 * time.Millisecond
-	// eventBatch is the maximum number of events that the core processes in one step.
-	eventBatch = 256
+	EntryTick = 10 * time.Millisecond
+	// EventBatch is the maximum number of events that the core processes in one step.
+	EventBatch = 256
 )
 
 // EntryOptions holds the dependencies of an entry.
@@ -68,10 +68,7 @@
 			Role: message.RoleEntry, Name: s.Name, Incarnation: rand.Uint64() | 1,
 			Zone: s.Zone, Region: s.Region, Version: o.Version, Address: s.Advertise,
 		},
-		core: scheduler.New(scheduler.Options{
-			HeartbeatTimeout: s.Timing.HeartbeatTimeout, Lease: s.Timing.Lease, StopTime: s.Timing.StopTime,
-			ResubmitDelay: s.Timing.ResubmitDelay, MaxWaiting: s.MaxWaiting,
-		}),
+		core:    scheduler.New(SchedulerOptions(s)),
 		events:  make(chan entryEvent, eventQueue),
 		ctx:     ctx,
 		cancel:  cancel,
@@ -81,6 +78,14 @@
 	return e
 }
 
+// SchedulerOptions returns the options of an entry's core.
+func SchedulerOptions(s settings.PoolEntry) scheduler.Options {
+	return scheduler.Options{
+		HeartbeatTimeout: s.Timing.HeartbeatTimeout, Lease: s.Timing.Lease, StopTime: s.Timing.StopTime,
+		ResubmitDelay: s.Timing.ResubmitDelay, MaxWaiting: s.MaxWaiting,
+	}
+}
+
 // Listen accepts connections from agents and other entries.
 func (e *Entry) Listen() error {
 	listener, err := e.opts.Network.Listen(e.settings.Listen, e.self, e)
@@ -93,7 +98,7 @@
 
 // Run processes events until Close is called.
 func (e *Entry) Run() {
-	ticker := time.NewTicker(entryTick)
+	ticker := time.NewTicker(EntryTick)
 	defer ticker.Stop()
 	publish := time.NewTicker(publishInterval)
 	defer publish.Stop()
@@ -251,12 +256,12 @@
 	e.opts.Log.Failure().Str("event", "agent disconnected").Str("agent", c.Peer().Name).Err(cause).Msg("")
 }
 
-// step processes an event together with those queued behind it, up to eventBatch,
+// step processes an event together with those queued behind it, up to EventBatch,
 // so that the orders for one agent are sent in one message.
 func (e *Entry) step(first entryEvent) {
 	e.batch = e.batch[:0]
 	e.addToBatch(first)
-	for len(e.batch) < eventBatch {
+	for len(e.batch) < EventBatch {
 		select {
 		case ev := <-e.events:
 			e.addToBatch(ev)
