emulator, command: faults by what they strike, one JSON printer, simpler collection of runs

Runs with perfect knowledge held stand-in agents only to be counted by faults; faults now count the fleet's agents. Results are collected in place in place of a channel of functions. simulate prints JSON by the function that the operator's commands use.

--- a/command/config.go
+++ b/command/config.go
@@ -84,7 +84,7 @@
 
 func (f operatorFlags) printChange(change api.ConfigChange, outcome string) error {
 	if f.JSON {
-		return printIndented(change)
+		return printIndented(os.Stdout, change)
 	}
 	fmt.Printf("%s: revision %d %s\n", change.Name, change.Revision, outcome)
 	return nil
@@ -141,7 +141,7 @@
 		return err
 	}
 	if c.JSON {
-		return printIndented(entry)
+		return printIndented(os.Stdout, entry)
 	}
 	s, err := config.ParseYAML(entry.Service)
 	if err != nil {
@@ -164,7 +164,7 @@
 		return err
 	}
 	if c.JSON {
-		return printIndented(list)
+		return printIndented(os.Stdout, list)
 	}
 	w := newTable()
 	fmt.Fprintln(w, "SERVICE\tREVISION\tSCHEMA\tUNDERSTOOD")
@@ -230,7 +230,7 @@
 
 func (c configDiffCommand) print(differences []config.Difference) error {
 	if c.JSON {
-		return printIndented(append([]config.Difference{}, differences...))
+		return printIndented(os.Stdout, append([]config.Difference{}, differences...))
 	}
 	for _, d := range differences {
 		fmt.Println(d)
@@ -257,7 +257,7 @@
 		return err
 	}
 	if c.JSON {
-		return printIndented(history)
+		return printIndented(os.Stdout, history)
 	}
 	w := newTable()
 	fmt.Fprintln(w, "REVISION\tTIME\tAUTHOR\tCHANGE\tRECORD")
--- a/command/job.go
+++ b/command/job.go
@@ -39,7 +39,7 @@
 	if resp == nil {
 		return err
 	}
-	if printErr := printIndented(resp); printErr != nil {
+	if printErr := printIndented(os.Stdout, resp); printErr != nil {
 		return printErr
 	}
 	return err
--- a/command/operator.go
+++ b/command/operator.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"time"
 
@@ -112,8 +113,8 @@
 	return s, data, nil
 }
 
-func printIndented(v any) error {
-	enc := json.NewEncoder(os.Stdout)
+func printIndented(w io.Writer, v any) error {
+	enc := json.NewEncoder(w)
 	enc.SetIndent("", "  ")
 	return enc.Encode(v)
 }
--- a/command/owner.go
+++ b/command/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 
 	"marjoramlug.example/marjoramlug/api"
 )
@@ -30,7 +31,7 @@
 		return err
 	}
 	if c.JSON {
-		return printIndented(list)
+		return printIndented(os.Stdout, list)
 	}
 	w := newTable()
 	fmt.Fprintln(w, "MEMBER\tZONE\tREGION\tADDRESS\tHTTP")
--- a/command/simulate.go
+++ b/command/simulate.go
@@ -1,7 +1,8 @@
 package command
 
 import (
-	"encoding/json"
+	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -60,29 +61,23 @@
 		return err
 	}
 	if report.Interrupted {
-		return fmt.Errorf("interrupted: the report holds the runs that were played to their end")
+		return errors.New("interrupted: the report holds the runs that were played to their end")
 	}
 	return nil
 }
 
 func (c simulateCommand) print(w io.Writer, report *emulator.Report, x *emulator.Experiment) error {
 	if c.CSV != "" {
-		file, err := os.Create(c.CSV)
-		if err != nil {
+		var rows bytes.Buffer
+		if err := report.WriteCSV(&rows); err != nil {
 			return err
 		}
-		if err := report.WriteCSV(file); err != nil {
-			_ = file.Close() // the write error is the one to report
-			return err
-		}
-		if err := file.Close(); err != nil {
+		if err := os.WriteFile(c.CSV, rows.Bytes(), 0o644); err != nil {
 			return err
 		}
 	}
 	if c.JSON {
-		encoder := json.NewEncoder(w)
-		encoder.SetIndent("", "  ")
-		return encoder.Encode(report)
+		return printIndented(w, report)
 	}
 	return report.WriteTable(w, x)
 }
--- a/emulator/experiment.go
+++ b/emulator/experiment.go
@@ -143,6 +143,15 @@
 	}
 }
 
+// agentCount returns the number of agents of all groups.
+func (x *Experiment) agentCount() int {
+	n := 0
+	for _, g := range x.Fleet.Agents {
+		n += g.Count
+	}
+	return n
+}
+
 // impossible returns the faults that concern several fields.
 func (x *Experiment) impossible() validation.Faults {
 	var faults validation.Faults
--- a/emulator/fault.go
+++ b/emulator/fault.go
@@ -8,20 +8,6 @@
 			s.entries[i].kill(f.For)
 		}
 		s.reconnect()
-	case "kill_agents":
-		for _, i := range s.pick(len(s.agents), f.Share) {
-			s.agents[i].kill(f.For)
-		}
-	case "slow_endpoints":
-		for _, i := range s.pick(len(s.agents), f.Share) {
-			s.slowDown(i, f)
-		}
-	case "unanswered_calls":
-		for _, i := range s.pick(len(s.agents), f.Share) {
-			e := s.agents[i].endpoint
-			e.unanswered = f.Factor
-			s.clock.after(f.For, func() { e.unanswered = 0 })
-		}
 	case "burst":
 		for i, c := range s.experiment.Classes {
 			if f.Class == "" || f.Class == c.Name {
@@ -29,23 +15,42 @@
 				s.clock.after(f.For, func() { s.rateFactor[i] /= f.Factor })
 			}
 		}
+	default:
+		for _, i := range s.pick(s.experiment.agentCount(), f.Share) {
+			if s.perfect != nil {
+				s.perfect.strike(s.perfect.endpoints[i], f)
+			} else {
+				s.agents[i].strike(f)
+			}
+		}
 	}
 }
 
-func (s *simulation) slowDown(i int, f Fault) {
-	change := func(factor float64) {
-		if s.perfect != nil {
-			s.perfect.setSlowness(i, factor)
-			return
-		}
-		e := s.agents[i].endpoint
-		e.setSlowness(e.slowness * factor)
+// strike applies a fault to an agent or its endpoint.
+func (a *agentNode) strike(f Fault) {
+	e := a.endpoint
+	switch f.Kind {
+	case "kill_agents":
+		a.kill(f.For)
+	case "slow_endpoints":
+		e.setSlowness(e.slowness * f.Factor)
+		a.sim.clock.after(f.For, func() { e.setSlowness(e.slowness * (1 / f.Factor)) })
+	case "unanswered_calls":
+		e.unanswered = f.Factor
+		a.sim.clock.after(f.For, func() { e.unanswered = 0 })
+	}
+}
+
+// strike slows an endpoint down, for tasks that start from now on. The other faults
+// of agents and endpoints do not exist for perfect knowledge.
+func (q *perfectQueue) strike(e *perfectEndpoint, f Fault) {
+	if f.Kind == "slow_endpoints" {
+		e.slowness *= f.Factor
+		q.sim.clock.after(f.For, func() { e.slowness *= 1 / f.Factor })
 	}
-	change(f.Factor)
-	s.clock.after(f.For, func() { change(1 / f.Factor) })
 }
 
-// pick draws a share of n indexes, at least one unless the share is 0.
+// pick draws a share of n indexes, at least one unless n is 0.
 func (s *simulation) pick(n int, share float64) []int {
 	count := min(n, max(1, int(share*float64(n)+0.5)))
 	return s.random.Perm(n)[:count]
--- a/emulator/perfect.go
+++ b/emulator/perfect.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"fmt"
 	"slices"
 	"time"
 )
@@ -37,16 +36,12 @@
 	for _, g := range x.Fleet.Agents {
 		for range g.Count {
 			s.perfect.endpoints = append(s.perfect.endpoints, &perfectEndpoint{free: int64(g.Cores * milliCPU), slowness: g.Slowness})
-			s.agents = append(s.agents, &agentNode{sim: s, name: fmt.Sprintf("agent-%d", len(s.agents)), endpoint: &endpoint{}})
 		}
 	}
 	s.play(ctx)
 	return s.result
 }
 
-// setSlowness changes the speed of an endpoint for tasks that start from now on.
-func (q *perfectQueue) setSlowness(i int, factor float64) { q.endpoints[i].slowness *= factor }
-
 func (q *perfectQueue) submit(j *job) {
 	work := 0.0
 	for _, t := range j.works {
--- a/emulator/runner.go
+++ b/emulator/runner.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"sync"
 	"text/tabwriter"
 
 	"golang.org/x/sync/errgroup"
@@ -41,30 +42,24 @@
 		run  func(context.Context, *Experiment, int64) *Result
 	}{{PolicyProduct, Run}, {PolicyPerfect, RunPerfect}}
 	results := make([][]*Result, len(policies))
-	finished := make(chan func())
 	var group errgroup.Group
 	group.SetLimit(max(parallel, 1))
-	go func() {
-		defer close(finished)
-		for p, policy := range policies {
-			results[p] = make([]*Result, len(x.Seeds))
-			for i, seed := range x.Seeds {
-				group.Go(func() error {
-					r := policy.run(ctx, x, seed)
-					finished <- func() {
-						results[p][i] = r
-						progress(policy.name, r)
-					}
-					return nil
-				})
-			}
+	var mu sync.Mutex // serializes progress
+	for p, policy := range policies {
+		results[p] = make([]*Result, len(x.Seeds))
+		for i, seed := range x.Seeds {
+			group.Go(func() error {
+				r := policy.run(ctx, x, seed)
+				results[p][i] = r
+				mu.Lock()
+				defer mu.Unlock()
+				progress(policy.name, r)
+				return nil
+			})
 		}
-		// The runs return no errors.
-		_ = group.Wait()
-	}()
-	for record := range finished {
-		record()
 	}
+	// The runs return no errors.
+	_ = group.Wait()
 	report := &Report{Interrupted: ctx.Err() != nil}
 	for p, policy := range policies {
 		list := PolicyResults{Policy: policy.name}
