scheduler: sums over queues in the order of their first jobs

loadBefore and demandRank summed rates over a map, whose order may change the last bit of the sum and with it, rarely, a decision: the same events must give the same result.

--- a/pool/scheduler/admission.go
+++ b/pool/scheduler/admission.go
@@ -93,7 +93,7 @@
 func (c *Core) loadBefore(j *job) float64 {
 	load := 0.0
 	own := j.queue.offeredLoad.rate(c.now)
-	for _, q := range c.queues {
+	for _, q := range c.queueList {
 		offered := q.offeredLoad.rate(c.now)
 		lower := q.urgent && !j.Urgent || q.urgent == j.Urgent && offered < own
 		if j.late || q != j.queue && lower {
--- a/pool/scheduler/core.go
+++ b/pool/scheduler/core.go
@@ -67,6 +67,9 @@
 	jobOrder []*job
 	waiters  map[Waiter]*job
 	queues   map[string]*queue
+	// queueList holds the queues in the order of their first jobs: sums of rates
+	// must not depend on a map's order.
+	queueList []*queue
 	// waiting is the number of tasks that wait for a start.
 	waiting int
 	// remainingRuns counts, by job ID, the runs of answered jobs that have not
--- a/pool/scheduler/place.go
+++ b/pool/scheduler/place.go
@@ -82,7 +82,7 @@
 		doublings = 10
 	)
 	total := 0.0
-	for _, q := range c.queues {
+	for _, q := range c.queueList {
 		total += q.offeredLoad.rate(c.now)
 	}
 	share := j.queue.offeredLoad.rate(c.now) / max(total, 1)
--- a/pool/scheduler/queue.go
+++ b/pool/scheduler/queue.go
@@ -58,6 +58,7 @@
 	if q == nil {
 		q = &queue{fleet: &c.fleet, eligibleAt: c.now, offeredLoad: decayingRate{timeConstant: loadTimeConstant, updatedAt: c.now}}
 		c.queues[name] = q
+		c.queueList = append(c.queueList, q)
 	}
 	return q
 }
