--- a/pool/executor/executor_test.go
+++ b/pool/executor/executor_test.go
@@ -52,8 +52,13 @@
 // orders sends the starts of a job's tasks on a session; cpu is the need of one task
 // in millicores.
 func (r *harness) orders(s Session, job string, tasks int, cpu int64) {
+	r.estimatedOrders(s, job, tasks, cpu, 0)
+}
+
+// estimatedOrders is orders with the caller's estimate of the run time.
+func (r *harness) estimatedOrders(s Session, job string, tasks int, cpu int64, estimate time.Duration) {
 	r.seq++
-	start := message.RunStart{Job: job, Need: message.Resources{MilliCPU: cpu}}
+	start := message.RunStart{Job: job, Need: message.Resources{MilliCPU: cpu}, EstimateMillis: estimate.Milliseconds()}
 	for i := range tasks {
 		start.Runs = append(start.Runs, message.TaskRun{Task: i, Number: 1})
 	}
@@ -252,12 +257,7 @@
 // its runs shows it while none of them is overdue.
 func TestSlowdownOfAnEndpointIsReported(t *testing.T) {
 	r := readyHarness(t)
-	r.seq++
-	start := message.RunStart{Job: "a", Need: message.Resources{MilliCPU: 1000}, EstimateMillis: 200}
-	for i := range 4 {
-		start.Runs = append(start.Runs, message.TaskRun{Task: i, Number: 1})
-	}
-	r.step(OrdersReceived{Session: 1, Orders: &message.RunOrders{Seq: r.seq, ReportTimestamp: r.reportTimestamp[1], Starts: []message.RunStart{start}}})
+	r.estimatedOrders(1, "a", 4, 1000, 200*time.Millisecond)
 	var alive []AliveRun
 	for _, call := range actionsOf[StartCall](r) {
 		alive = append(alive, AliveRun{Run: call.Run, Percent: 5})
@@ -286,10 +286,7 @@
 		{"usual", 12, false},
 	} {
 		r := readyHarness(t)
-		r.seq++
-		r.step(OrdersReceived{Session: 1, Orders: &message.RunOrders{Seq: r.seq, ReportTimestamp: r.reportTimestamp[1], Starts: []message.RunStart{{
-			Job: "a", Need: message.Resources{MilliCPU: 1000}, EstimateMillis: estimate.Milliseconds(), Runs: []message.TaskRun{{Number: 1}},
-		}}}})
+		r.estimatedOrders(1, "a", 1, 1000, estimate)
 		start := actionsOf[StartCall](r)[0]
 		began := r.now
 		r.step(StartAnswered{Call: start.Call, Run: start.Run, Result: StartAccepted, Clock: Clock{6000, true}})
@@ -403,10 +400,7 @@
 func TestSlowdownOfASingleRunIsReported(t *testing.T) {
 	for percent, want := range map[float64]bool{2: true, 12: false} {
 		r := readyHarness(t)
-		r.seq++
-		r.step(OrdersReceived{Session: 1, Orders: &message.RunOrders{Seq: r.seq, ReportTimestamp: r.reportTimestamp[1], Starts: []message.RunStart{{
-			Job: "a", Need: message.Resources{MilliCPU: 1000}, EstimateMillis: 200, Runs: []message.TaskRun{{Number: 1}},
-		}}}})
+		r.estimatedOrders(1, "a", 1, 1000, 200*time.Millisecond)
 		start := actionsOf[StartCall](r)[0]
 		r.step(StartAnswered{Call: start.Call, Run: start.Run, Result: StartAccepted, Clock: Clock{6000, true}})
 		r.now += 50 * time.Millisecond
--- a/pool/executor/unanswered_test.go
+++ b/pool/executor/unanswered_test.go
@@ -215,10 +215,7 @@
 // count as slow because of it.
 func TestRunFoundAliveReportsNoSlowdown(t *testing.T) {
 	r := readyHarness(t)
-	r.seq++
-	r.step(OrdersReceived{Session: 1, Orders: &message.RunOrders{Seq: r.seq, ReportTimestamp: r.reportTimestamp[1], Starts: []message.RunStart{{
-		Job: "a", Need: message.Resources{MilliCPU: 1000}, EstimateMillis: 200, Runs: []message.TaskRun{{Number: 1}},
-	}}}})
+	r.estimatedOrders(1, "a", 1, 1000, 200*time.Millisecond)
 	var run message.RunRef
 	for range maxStarts {
 		start := r.onlyStart()
--- a/pool/promises_test.go
+++ b/pool/promises_test.go
@@ -142,24 +142,33 @@
 	return sim
 }
 
+// newUnansweredSimulation returns a connected pool of two entries and eight
+// endpoints that leave a share of the calls, in percent, unanswered.
+func newUnansweredSimulation(seed uint64, unansweredPercent int) *simulation {
+	sim := newSimulation(seeded{rand.New(rand.NewPCG(seed, 0))}, 2, 8)
+	sim.noFailures = true
+	sim.advanceBy(20)
+	for _, a := range sim.agents {
+		a.unansweredPercent = unansweredPercent
+	}
+	return sim
+}
+
+func (sim *simulation) advanceBy(ticks int) {
+	for range ticks {
+		sim.advance()
+	}
+}
+
 // TestUnansweredOrdersDelayTasksLittle guards against jobs that are late
 // because endpoints leave calls unanswered: with one call in 15 unanswered,
 // nine of ten jobs have all their tasks started within the 156 ms in which a
 // short job has to complete.
 func TestUnansweredOrdersDelayTasksLittle(t *testing.T) {
-	sim := newSimulation(seeded{rand.New(rand.NewPCG(7, 0))}, 2, 8)
-	sim.noFailures = true
-	for range 20 {
-		sim.advance()
-	}
-	for _, a := range sim.agents {
-		a.unansweredPercent = 7
-	}
+	sim := newUnansweredSimulation(7, 7)
 	for i := range 200 {
 		sim.submit(i%2, 4, 6000, 100*time.Millisecond)
-		for range 20 {
-			sim.advance()
-		}
+		sim.advanceBy(20)
 	}
 	lateJobs := 0
 	for _, c := range sim.clients {
@@ -181,25 +190,14 @@
 // unanswered and four fifths of the capacity in use, seven of ten jobs complete
 // within their objective of 1.6 times their run time and 60 ms.
 func TestUnansweredCallsLeaveCapacityUsable(t *testing.T) {
-	sim := newSimulation(seeded{rand.New(rand.NewPCG(11, 0))}, 2, 8)
-	sim.noFailures = true
-	for range 20 {
-		sim.advance()
-	}
-	for _, a := range sim.agents {
-		a.unansweredPercent = 15
-	}
+	sim := newUnansweredSimulation(11, 15)
 	// 8 endpoints run 3 tasks of 220 ms on average at a time: 109 tasks a second,
 	// of which 86 are submitted.
 	for i := range 300 {
 		sim.submit(i%2, 3, 6000, 220*time.Millisecond)
-		for range 7 {
-			sim.advance()
-		}
-	}
-	for range 800 {
-		sim.advance()
+		sim.advanceBy(7)
 	}
+	sim.advanceBy(800)
 	inTime := 0
 	for _, c := range sim.clients {
 		// The last task takes 420 ms at most.
--- a/pool/scheduler/overload_test.go
+++ b/pool/scheduler/overload_test.go
@@ -58,16 +58,7 @@
 		}
 	}
 	kind := jobKind{queue: label.queue, tasks: 1, runTime: label.runTime}
-	submit := func(id string) *testJob {
-		sim.lastWaiter++
-		j := &testJob{sent: sim.now, runTime: kind.runTime, Job: &Job{
-			ID: id, Queue: kind.queue, Service: "s", Tasks: 1, Need: message.Resources{MilliCPU: 6200},
-			Estimate: kind.runTime, Stretch: 1.6, Slack: 60 * time.Millisecond, Attempts: 3, Deadline: sim.now + 8*time.Second, FirstRun: 1,
-		}}
-		sim.jobs[sim.lastWaiter] = j
-		sim.apply(JobSubmitted{Waiter: sim.lastWaiter, Job: j.Job})
-		return j
-	}
+	submit := func() *testJob { return sim.submitExactly(kind, kind.runTime, kind.runTime) }
 	runsAt := func(a *testAgent, j *testJob) bool {
 		for ref := range a.running {
 			if ref.Job == j.ID {
@@ -76,20 +67,20 @@
 		}
 		return false
 	}
-	for _, id := range []string{"first", "second", "third"} {
-		submit(id)
+	for range sim.agents {
+		submit()
 	}
-	waited := submit("waited")
+	waited := submit()
 	sim.now += 130 * time.Millisecond // 250 ms are left: enough for 200 ms, not for 270 ms
 	sim.apply(Tick{})
-	fresh := submit("fresh")
+	fresh := submit()
 	free := func(i int) {
 		a := sim.agents[i]
 		for ref := range a.running {
 			a.end(ref, message.RunStopped, sim.now)
 		}
 		for _, j := range sim.core.jobOrder {
-			if j.ID != "waited" && j.ID != "fresh" {
+			if j.ID != waited.ID && j.ID != fresh.ID {
 				j.Deadline = sim.now // their tasks are not started again
 			}
 		}
--- a/pool/scheduler/simulation_test.go
+++ b/pool/scheduler/simulation_test.go
@@ -184,12 +184,17 @@
 // submit submits a job whose run time varies around that of its kind by up to
 // 40 %, with an estimate that is off by up to 20 %.
 func (sim *simulation) submit(k jobKind) *testJob {
-	sim.lastWaiter++
 	runTime := time.Duration(float64(k.runTime) * (0.6 + 0.8*sim.random.Float64()))
+	return sim.submitExactly(k, runTime, time.Duration(float64(runTime)*(0.8+0.4*sim.random.Float64())))
+}
+
+// submitExactly submits a job with the given run time and estimate.
+func (sim *simulation) submitExactly(k jobKind, runTime, estimate time.Duration) *testJob {
+	sim.lastWaiter++
 	j := &testJob{sent: sim.now, runTime: runTime, Job: &Job{
 		ID: fmt.Sprint(k.queue, "-", sim.lastWaiter), Queue: k.queue, Service: "s", Urgent: k.urgent, Tasks: k.tasks,
 		Need:     message.Resources{MilliCPU: 6200},
-		Estimate: time.Duration(float64(runTime) * (0.8 + 0.4*sim.random.Float64())),
+		Estimate: estimate,
 		Stretch:  1.6, Slack: 60 * time.Millisecond, Attempts: 3, Deadline: sim.now + 8*time.Second, FirstRun: 1,
 	}}
 	sim.jobs[sim.lastWaiter] = j
