--- a/emulator/result.go
+++ b/emulator/result.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
 )
 
 const (
@@ -169,33 +171,23 @@
 	Half float64 `json:"half"`
 }
 
-// studentQuantiles holds the 97.5 % quantiles of Student's t distribution, by
-// degrees of freedom.
-var studentQuantiles = []float64{0, 12.71, 4.30, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26, 2.23}
-
-// normalQuantile is the same of the normal distribution, for more degrees.
-const normalQuantile = 1.96
+// confidence is the upper quantile of a two-sided 95 % interval.
+const confidence = 0.975
 
 // IntervalOf returns the interval of a figure over results.
 func IntervalOf(results []*Result, figure func(*Result) float64) Interval {
-	n := float64(len(results))
-	if n == 0 {
-		return Interval{}
-	}
-	sum, squares := 0.0, 0.0
-	for _, r := range results {
-		sum += figure(r)
+	values := make([]float64, len(results))
+	for i, r := range results {
+		values[i] = figure(r)
 	}
-	mean := sum / n
-	if n < 2 {
-		return Interval{Mean: mean}
-	}
-	for _, r := range results {
-		squares += (figure(r) - mean) * (figure(r) - mean)
-	}
-	quantile := normalQuantile
-	if degrees := len(results) - 1; degrees < len(studentQuantiles) {
-		quantile = studentQuantiles[degrees]
+	switch len(values) {
+	case 0:
+		return Interval{}
+	case 1:
+		return Interval{Mean: values[0]}
 	}
-	return Interval{Mean: mean, Half: quantile * math.Sqrt(squares/(n-1)/n)}
+	n := float64(len(values))
+	mean, deviation := stat.MeanStdDev(values, nil)
+	quantile := distuv.StudentsT{Sigma: 1, Nu: n - 1}.Quantile(confidence)
+	return Interval{Mean: mean, Half: quantile * stat.StdErr(deviation, n)}
 }
