--- a/deploy/regression.sh
+++ b/deploy/regression.sh
@@ -18,10 +18,12 @@
 
 run() { # run JOBS SITE
   echo "== $2"
-  "$bench" score "$sites/$2.toml" "${quick[@]}" --jobs "$1" --why "regression run" | tee /tmp/regression.$$
-  grep -q '^GATE passed' /tmp/regression.$$ || { echo "gate failed: $2" >&2; exit 1; }
+  if ! "$bench" score "$sites/$2.toml" "${quick[@]}" --jobs "$1" --why "regression run" |
+    tee /dev/stderr | grep '^GATE passed' >/dev/null; then
+    echo "gate failed: $2" >&2
+    exit 1
+  fi
 }
-trap 'rm -f /tmp/regression.$$' EXIT
 
 run 3 further/crp-sched
 run 3 sites/rnb-briquette-trials
