Agents log the runs that an endpoint crashed under

Which task an endpoint crashed under could only be guessed by joining the lines of all entries, and a job that ended at its deadline did not say whether it waited for capacity or for a run without an end. Orders carry the job's queue; an agent writes one line for a crash with all runs, queues and ages; the line of an ended job has unplaced and unended tasks. No decision changes.

--- a/message/run.go
+++ b/message/run.go
@@ -18,6 +18,8 @@
 	// EstimateMillis is the run time in milliseconds that the caller expects; 0
 	// means unknown.
 	EstimateMillis int64 `cbor:"5,keyasint,omitempty"`
+	// Queue is the job's queue, which crash records name.
+	Queue string `cbor:"6,keyasint,omitempty"`
 }
 
 // TaskRun is a task's index within its job and the number of its run.
--- a/pool/executor/core.go
+++ b/pool/executor/core.go
@@ -132,6 +132,9 @@
 	RepeatedStarts int64
 	// Offers counts offers of free capacity.
 	Offers int64
+	// Crashes counts crashes of the endpoint while runs were on it, CrashedRuns these
+	// runs.
+	Crashes, CrashedRuns int64
 }
 
 // New returns a core that has no endpoint and no sessions.
--- a/pool/executor/endpoint.go
+++ b/pool/executor/endpoint.go
@@ -122,6 +122,7 @@
 // runs of earlier incarnations have ended; starts that the new incarnation may have
 // accepted are kept (see loseRuns).
 func (c *Core) adopt(ev EndpointAnnounced) {
+	c.recordCrash()
 	c.loseRuns()
 	old := c.endpoint
 	c.endpoint = endpoint{
@@ -147,10 +148,17 @@
 // process has ended, and with it all its runs.
 func (c *Core) endpointCrashed() {
 	if c.endpoint.present {
+		c.recordCrash()
 		c.removeEndpoint("endpoint unreachable")
 	}
 }
 
+// endpointRestarted handles an answer that shows a later incarnation of the endpoint.
+func (c *Core) endpointRestarted() {
+	c.recordCrash()
+	c.removeEndpoint("endpoint began a new life")
+}
+
 func (c *Core) removeEndpoint(what string) {
 	c.emit(Note{What: what, Subject: c.endpoint.name})
 	c.loseRuns()
--- a/pool/executor/event.go
+++ b/pool/executor/event.go
@@ -240,14 +240,19 @@
 	Detail  string
 }
 
+// EndpointCrashed reports, for the log, that the endpoint's process ended without
+// notice.
+type EndpointCrashed struct{ Crash *message.EndpointCrash }
+
 // Drained reports, after StopRequested, that no run and no unacknowledged end is
 // left.
 type Drained struct{}
 
-func (StartCall) action()    {}
-func (StopCall) action()     {}
-func (PollCall) action()     {}
-func (SendReport) action()   {}
-func (CloseSession) action() {}
-func (Note) action()         {}
-func (Drained) action()      {}
+func (StartCall) action()       {}
+func (StopCall) action()        {}
+func (PollCall) action()        {}
+func (SendReport) action()      {}
+func (CloseSession) action()    {}
+func (Note) action()            {}
+func (EndpointCrashed) action() {}
+func (Drained) action()         {}
--- a/pool/executor/poll.go
+++ b/pool/executor/poll.go
@@ -78,7 +78,7 @@
 		e.waitingPoll = 0
 	}
 	if e.isLaterIncarnation(ev.Clock, ev.EndpointIncarnation) {
-		c.removeEndpoint("endpoint began a new life")
+		c.endpointRestarted()
 		return
 	}
 	e.recordAnswer(c.now, ev.Clock)
--- a/pool/executor/run.go
+++ b/pool/executor/run.go
@@ -30,6 +30,7 @@
 	entry   *entry
 	need    message.Resources
 	payload string
+	queue   string
 	state   runState
 	// startSent is the time at which the last start was sent.
 	startSent time.Duration
@@ -77,7 +78,7 @@
 			c.refuse(en, ref, cause)
 			continue
 		}
-		r := &run{ref: ref, key: en.key, entry: en, need: order.Need, payload: order.Payload,
+		r := &run{ref: ref, key: en.key, entry: en, need: order.Need, payload: order.Payload, queue: order.Queue,
 			estimate: time.Duration(order.EstimateMillis) * time.Millisecond}
 		c.runs.Set(ref, r)
 		c.used = c.used.Plus(r.need)
@@ -124,7 +125,7 @@
 func (c *Core) startAnswered(ev StartAnswered) {
 	restarted := c.endpoint.isLaterIncarnation(ev.Clock, ev.EndpointIncarnation)
 	if restarted {
-		c.removeEndpoint("endpoint began a new life")
+		c.endpointRestarted()
 	} else {
 		c.endpoint.recordAnswer(c.now, ev.Clock)
 	}
--- a/pool/node/agent.go
+++ b/pool/node/agent.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"marjoramlug.example/marjoramlug/message"
@@ -198,6 +200,8 @@
 		a.sessions.close(uint64(action.Session))
 	case executor.Note:
 		a.note(action)
+	case executor.EndpointCrashed:
+		a.logCrash(action.Crash)
 	case executor.Drained:
 		close(a.drained)
 	}
@@ -230,6 +234,22 @@
 	line.Msg("")
 }
 
+// maxLoggedRuns bounds the runs in the log line of a crash.
+const maxLoggedRuns = 64
+
+// logCrash logs a crash of the endpoint with the runs that were on it, the youngest
+// first, each as job, task, run, queue and age in milliseconds.
+func (a *Agent) logCrash(crash *message.EndpointCrash) {
+	var runs []string
+	for _, r := range slices.Backward(crash.Runs) {
+		if len(runs) < maxLoggedRuns {
+			runs = append(runs, fmt.Sprintf("%s.%d/%d %s %d", r.Run.Job, r.Run.Task, r.Run.Number, r.Queue, r.AgeMillis))
+		}
+	}
+	a.opts.Log.Failure().Str("event", "endpoint crashed").Str("endpoint", crash.Endpoint).
+		Int64("incarnation", crash.Incarnation).Int("count", len(crash.Runs)).Strs("runs", runs).Msg("")
+}
+
 // logEnds logs the end of each run: completed runs as routine lines, others as
 // failures.
 func (a *Agent) logEnds(r *message.RunReport) {
@@ -258,6 +278,8 @@
 	m.Set("endpoint.resyncs", counters.PromptPolls)
 	m.Set("endpoint.starts_repeated", counters.RepeatedStarts)
 	m.Set("room.offers", counters.Offers)
+	m.Set("endpoint.crashes", counters.Crashes)
+	m.Set("runs.crashed", counters.CrashedRuns)
 	publishEnds(m, counters.Ended[:], counters.Refused[:])
 	publishOmitted(m, a.opts.Log)
 }
--- a/pool/node/entry.go
+++ b/pool/node/entry.go
@@ -325,7 +325,8 @@
 		Str("cause", j.Cause).Int("tasks", j.Job.Tasks).Int64("mcpu", j.Job.Need.MilliCPU).
 		Int64("estimate_ms", j.Job.Estimate.Milliseconds()).Int64("age_ms", j.Age.Milliseconds()).
 		Int64("waited_ms", j.Waited.Milliseconds()).Int64("objective_ms", j.Objective.Milliseconds()).
-		Int("runs", j.Runs).Int("failed", j.Failed).Int("lost", j.Lost).Int("tasks_waiting", j.WaitingTasks).Msg("")
+		Int("runs", j.Runs).Int("failed", j.Failed).Int("lost", j.Lost).
+		Int("unplaced", j.Unplaced).Int("unended", j.Unended).Int("tasks_waiting", j.WaitingTasks).Msg("")
 }
 
 func (e *Entry) publish() {
--- a/pool/scheduler/event.go
+++ b/pool/scheduler/event.go
@@ -129,6 +129,9 @@
 	// as failed, and Lost the runs that ended because of an expired lease or
 	// the loss of their endpoint or agent.
 	Runs, Failed, Lost int
+	// Unplaced and Unended count the tasks that waited for a start, and those whose
+	// run had not ended, when the job ended.
+	Unplaced, Unended int
 	// WaitingTasks is the number of waiting tasks of all jobs at that moment.
 	WaitingTasks int
 }
--- a/pool/scheduler/job.go
+++ b/pool/scheduler/job.go
@@ -129,8 +129,10 @@
 	j.answered = true
 	delete(c.jobs, j.ID)
 	c.waiting -= j.waiting
+	unplaced, unended := j.waiting, 0
 	for i := range j.tasks {
 		if r := j.tasks[i].run; r != nil {
+			unended++
 			c.remainingRuns[j.ID]++
 			c.stop(r)
 		}
@@ -143,7 +145,8 @@
 	c.counters.Jobs[outcome]++
 	ended := JobEnded{
 		Job: j.Job, Outcome: outcome, Cause: cause, Age: c.now - j.received, Objective: j.objective(),
-		Runs: j.runs, Failed: j.failed, Lost: j.lost, WaitingTasks: c.waiting,
+		Runs: j.runs, Failed: j.failed, Lost: j.lost,
+		Unplaced: unplaced, Unended: unended, WaitingTasks: c.waiting,
 	}
 	if j.runs > 0 {
 		ended.Waited = j.firstStart - j.received
--- a/pool/scheduler/place.go
+++ b/pool/scheduler/place.go
@@ -322,7 +322,7 @@
 	runStart := a.starts[j.ID]
 	if runStart == nil {
 		runStart = &message.RunStart{
-			Job: j.ID, Payload: j.Payload, Need: j.Need, EstimateMillis: j.Estimate.Milliseconds(),
+			Job: j.ID, Payload: j.Payload, Need: j.Need, EstimateMillis: j.Estimate.Milliseconds(), Queue: j.Queue,
 		}
 		a.starts[j.ID] = runStart
 		a.startOrder = append(a.startOrder, j.ID)
