Emulator: endpoints that crash, and jobs that crash them

Faults crash_endpoints and deadly_jobs; a crashed endpoint refuses connections for 3 to 3.5 s and returns as a new incarnation. Counted are crashes, deadly jobs, starts beyond the users' budget and sound jobs that were given up.

--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -68,6 +68,7 @@
 		"{at: 1s, for: 3s, kind: slow_endpoints, share: 0.5, factor: 6}",
 		"{at: 1s, for: 3s, kind: unanswered_calls, factor: 0.5}",
 		"{at: 1s, for: 3s, kind: burst, factor: 2}",
+		"{at: 1s, for: 2s, kind: crash_endpoints, share: 0.5}",
 	} {
 		r := Run(t.Context(), experiment(t, "faults: ["+fault+"]"), 1)
 		if r.Overlaps+r.OverCapacity > 0 {
--- a/emulator/endpoint.go
+++ b/emulator/endpoint.go
@@ -19,6 +19,12 @@
 	// maxLateDelay.
 	minLateDelay = 2 * time.Second
 	maxLateDelay = 12 * time.Second
+	// crashDelay is the time from the start of a deadly task to the crash of its
+	// endpoint.
+	crashDelay = 10 * time.Millisecond
+	// A crashed endpoint is back after minOutage to maxOutage.
+	minOutage = 3 * time.Second
+	maxOutage = 3500 * time.Millisecond
 )
 
 // endpoint is the model of an endpoint: it starts what it is told to, works on its
@@ -31,6 +37,11 @@
 	slowness float64
 	// unanswered is the share of calls that get no answer.
 	unanswered float64
+	// up is false while the endpoint has no process; incarnation numbers its processes
+	// and bornAt is the start of the present one.
+	up          bool
+	incarnation int64
+	bornAt      time.Duration
 
 	seq     int64
 	fence   int64
@@ -40,8 +51,9 @@
 	ended   []executor.EndedRun
 	lastEnd int64
 	highest map[taskKey]int64
-	// waiting answers the poll that waits for the end of a run.
-	waiting func()
+	// waiting answers the poll that waits for the end of a run, broken ends it without
+	// an answer.
+	waiting, broken func()
 }
 
 type taskKey struct {
@@ -62,27 +74,72 @@
 
 func keyOf(ref message.RunRef) taskKey { return taskKey{ref.Job, ref.Task} }
 
+// boot begins a new incarnation, which knows nothing of the ones before.
+func (e *endpoint) boot() {
+	e.up, e.bornAt = true, e.sim.clock.now
+	e.incarnation++
+	e.seq, e.fence, e.leaseAt, e.lastEnd = 0, 0, 0, 0
+	e.ended, e.highest = nil, map[taskKey]int64{}
+}
+
+// crash ends the process and all its runs without notice.
+func (e *endpoint) crash(outage time.Duration) {
+	if !e.up {
+		return
+	}
+	e.up = false
+	e.sim.result.Crashes++
+	for _, r := range e.runs.All() {
+		e.remove(r)
+	}
+	if e.broken != nil {
+		e.broken()
+	}
+	e.sim.clock.after(outage, func() {
+		e.boot()
+		e.announce()
+	})
+}
+
+// outage draws the time for which a crashed endpoint is away.
+func (s *simulation) outage() time.Duration {
+	return minOutage + time.Duration(s.random.Float64()*float64(maxOutage-minOutage))
+}
+
 // clock returns the endpoint's clock in milliseconds.
-func (e *endpoint) clock() int64 { return e.sim.clock.now.Milliseconds() }
+func (e *endpoint) clock() int64 { return (e.sim.clock.now - e.bornAt).Milliseconds() }
 
 func (e *endpoint) announce() {
+	if !e.up {
+		return
+	}
 	e.seq++
 	e.agent.deliver(executor.EndpointAnnounced{
-		Name: e.agent.name, EndpointIncarnation: 1, Seq: e.seq, Service: service, Capacity: e.capacity, ClockMillis: e.clock(),
+		Name: e.agent.name, EndpointIncarnation: e.incarnation, Seq: e.seq, Service: service, Capacity: e.capacity, ClockMillis: e.clock(),
 	})
 }
 
-// call carries out a call of the agent and delivers its answer, or that there was
-// none.
-func (e *endpoint) call(timeout time.Duration, answered func() executor.Event, none executor.Event) {
-	life := e.agent.life
+// call carries out a call of the agent and delivers its answer, none if there was no
+// answer, or unreachable if the endpoint has no process.
+func (e *endpoint) call(timeout time.Duration, answered func() executor.Event, none, unreachable executor.Event) {
+	life, incarnation := e.agent.life, e.incarnation
 	if e.leavesUnanswered() {
 		late := minLateDelay + time.Duration(e.sim.random.Float64()*float64(maxLateDelay-minLateDelay))
-		e.sim.clock.after(late, func() { answered() })
+		e.sim.clock.after(late, func() {
+			if e.up && e.incarnation == incarnation {
+				answered()
+			}
+		})
 		e.answer(life, timeout+callDelay, none)
 		return
 	}
-	e.sim.clock.after(callDelay, func() { e.answer(life, callDelay, answered()) })
+	e.sim.clock.after(callDelay, func() {
+		if !e.up {
+			e.answer(life, callDelay, unreachable)
+			return
+		}
+		e.answer(life, callDelay, answered())
+	})
 }
 
 // leavesUnanswered draws whether the endpoint leaves a call unanswered.
@@ -101,7 +158,7 @@
 
 func (e *endpoint) start(c executor.StartCall) executor.Event {
 	answer := executor.StartAnswered{
-		Call: c.Call, Run: c.Run, EndpointIncarnation: 1, Clock: executor.Clock{Millis: e.clock(), Known: true},
+		Call: c.Call, Run: c.Run, EndpointIncarnation: e.incarnation, Clock: executor.Clock{Millis: e.clock(), Known: true},
 	}
 	if c.Fence < e.fence {
 		answer.Result = executor.StartFenced
@@ -137,8 +194,33 @@
 		e.sim.result.Overlaps++
 	}
 	e.planEnd(r)
+	if j.deadly && ref.Task == 0 {
+		e.beginDeadly(r)
+	}
 }
 
+// beginDeadly plans the crash under the task of a deadly job.
+func (e *endpoint) beginDeadly(r *endpointRun) {
+	if r.job.crashes >= budgetCrashes {
+		if r.job.startsOverBudget++; r.job.startsOverBudget >= budgetStarts {
+			e.sim.result.OverBudget++
+		}
+	}
+	e.sim.clock.after(crashDelay, func() {
+		if e.runs.Get(r.ref) == r {
+			r.job.crashes++
+			e.crash(e.sim.outage())
+		}
+	})
+}
+
+// A deadly task is over its budget when it is started budgetStarts times after
+// budgetCrashes crashes. The limit is the users'.
+const (
+	budgetCrashes = 3
+	budgetStarts  = 3
+)
+
 // planEnd adds the event of a run's end at the present speed.
 func (e *endpoint) planEnd(r *endpointRun) {
 	r.plan++
@@ -162,13 +244,18 @@
 	}
 }
 
-func (e *endpoint) end(r *endpointRun, outcome message.RunOutcome) {
+// remove takes a run that has ended off the endpoint.
+func (e *endpoint) remove(r *endpointRun) {
 	e.runs.Delete(r.ref)
 	e.used = e.used.Minus(r.job.need)
 	if e.sim.aliveRuns[keyOf(r.ref)]--; e.sim.aliveRuns[keyOf(r.ref)] == 0 {
 		delete(e.sim.aliveRuns, keyOf(r.ref))
 	}
 	r.plan++
+}
+
+func (e *endpoint) end(r *endpointRun, outcome message.RunOutcome) {
+	e.remove(r)
 	e.lastEnd++
 	e.ended = append(e.ended, executor.EndedRun{Seq: e.lastEnd, Run: r.ref, Outcome: outcome})
 	e.recordNumber(r.ref)
@@ -199,18 +286,27 @@
 func (e *endpoint) poll(c executor.PollCall) {
 	life := e.agent.life
 	answered := false
-	answer := func() {
-		if answered {
-			return
+	answerWith := func(list func() executor.PollAnswered) func() {
+		return func() {
+			if !answered {
+				answered, e.waiting, e.broken = true, nil, nil
+				e.answer(life, callDelay, list())
+			}
 		}
-		answered, e.waiting = true, nil
-		e.answer(life, callDelay, e.list(c))
 	}
+	noAnswer := func(result executor.PollResult) func() executor.PollAnswered {
+		return func() executor.PollAnswered { return executor.PollAnswered{Call: c.Call, Result: result} }
+	}
+	answer := answerWith(func() executor.PollAnswered { return e.list(c) })
 	if e.leavesUnanswered() {
-		e.answer(life, c.Timeout, executor.PollAnswered{Call: c.Call, Result: executor.PollNoAnswer})
+		e.answer(life, c.Timeout, noAnswer(executor.PollNoAnswer)())
 		return
 	}
 	e.sim.clock.after(callDelay, func() {
+		if !e.up {
+			answerWith(noAnswer(executor.PollUnreachable))()
+			return
+		}
 		if c.Fence < e.fence {
 			answer()
 			return
@@ -226,14 +322,14 @@
 			answer()
 			return
 		}
-		e.waiting = answer
+		e.waiting, e.broken = answer, answerWith(noAnswer(executor.PollNoAnswer))
 		e.sim.clock.after(time.Duration(c.WaitMillis)*time.Millisecond, answer)
 	})
 }
 
 func (e *endpoint) list(c executor.PollCall) executor.PollAnswered {
 	result := executor.PollAnswered{
-		Call: c.Call, Result: executor.PollAccepted, EndpointIncarnation: 1, Clock: executor.Clock{Millis: e.clock(), Known: true},
+		Call: c.Call, Result: executor.PollAccepted, EndpointIncarnation: e.incarnation, Clock: executor.Clock{Millis: e.clock(), Known: true},
 	}
 	if c.Fence < e.fence {
 		result.Result = executor.PollFenced
@@ -251,7 +347,7 @@
 
 // extend extends the leases of all runs up to a time on the endpoint's clock.
 func (e *endpoint) extend(untilMillis int64) {
-	until := min(time.Duration(untilMillis)*time.Millisecond, e.sim.clock.now+e.sim.timing.Lease)
+	until := min(e.bornAt+time.Duration(untilMillis)*time.Millisecond, e.sim.clock.now+e.sim.timing.Lease)
 	if until <= e.leaseAt {
 		return
 	}
--- a/emulator/experiment.go
+++ b/emulator/experiment.go
@@ -82,14 +82,17 @@
 type Fault struct {
 	At  time.Duration `yaml:"at" validate:"gte=0"`
 	For time.Duration `yaml:"for,omitempty" validate:"gte=0,lte=600000000000"`
-	// Kind is kill_entries, kill_agents, slow_endpoints, unanswered_calls or burst.
-	Kind string `yaml:"kind" validate:"required,oneof=kill_entries kill_agents slow_endpoints unanswered_calls burst"`
-	// Share is the share of the entries or agents that are struck. Default 1.
+	// Kind is kill_entries, kill_agents, crash_endpoints, slow_endpoints,
+	// unanswered_calls, burst or deadly_jobs. A deadly job crashes each endpoint that
+	// starts its first task.
+	Kind string `yaml:"kind" validate:"required,oneof=kill_entries kill_agents crash_endpoints slow_endpoints unanswered_calls burst deadly_jobs"`
+	// Share is the share of the entries or agents that are struck, or of a class's
+	// jobs that are deadly. Default 1.
 	Share float64 `yaml:"share,omitempty" validate:"gte=0,lte=1"`
 	// Factor is how many times slower endpoints run or how many times more jobs come;
 	// of unanswered_calls it is the share of calls.
 	Factor float64 `yaml:"factor,omitempty" validate:"gte=0,lte=100"`
-	// Class is the class of a burst; all classes if empty.
+	// Class is the class of a burst or of deadly jobs; all classes if empty.
 	Class string `yaml:"class,omitempty"`
 }
 
@@ -174,10 +177,11 @@
 	}
 	for i, f := range x.Faults {
 		path := fmt.Sprintf("faults[%d].", i)
-		if f.Kind == "burst" && f.Class != "" && !names[f.Class] {
+		if (f.Kind == "burst" || f.Kind == "deadly_jobs") && f.Class != "" && !names[f.Class] {
 			faults = append(faults, validation.Fault{Path: path + "class", Value: f.Class, Expected: "the name of a class"})
 		}
-		if f.Factor == 0 && f.Kind != "kill_entries" && f.Kind != "kill_agents" {
+		needsFactor := f.Kind == "slow_endpoints" || f.Kind == "unanswered_calls" || f.Kind == "burst"
+		if f.Factor == 0 && needsFactor {
 			faults = append(faults, validation.Fault{Path: path + "factor", Value: "0", Expected: "more than 0 for " + f.Kind})
 		}
 		if f.Kind == "unanswered_calls" && f.Factor > 1 {
--- a/emulator/fault.go
+++ b/emulator/fault.go
@@ -15,6 +15,13 @@
 				s.clock.after(f.For, func() { s.rateFactor[i] /= f.Factor })
 			}
 		}
+	case "deadly_jobs":
+		for i, c := range s.experiment.Classes {
+			if f.Class == "" || f.Class == c.Name {
+				s.deadlyShare[i] += f.Share
+				s.clock.after(f.For, func() { s.deadlyShare[i] -= f.Share })
+			}
+		}
 	default:
 		for _, i := range s.pick(s.experiment.agentCount(), f.Share) {
 			if s.perfect != nil {
@@ -32,6 +39,8 @@
 	switch f.Kind {
 	case "kill_agents":
 		a.kill(f.For)
+	case "crash_endpoints":
+		e.crash(f.For)
 	case "slow_endpoints":
 		e.setSlowness(e.slowness * f.Factor)
 		a.sim.clock.after(f.For, func() { e.setSlowness(e.slowness * (1 / f.Factor)) })
--- a/emulator/nodes.go
+++ b/emulator/nodes.go
@@ -183,9 +183,11 @@
 	switch c := action.(type) {
 	case executor.StartCall:
 		e.call(c.Timeout, func() executor.Event { return e.start(c) },
-			executor.StartAnswered{Call: c.Call, Run: c.Run, Result: executor.StartNoAnswer})
+			executor.StartAnswered{Call: c.Call, Run: c.Run, Result: executor.StartNoAnswer},
+			executor.StartAnswered{Call: c.Call, Run: c.Run, Result: executor.StartUnreachable})
 	case executor.StopCall:
-		e.call(c.Timeout, func() executor.Event { return e.stop(c) }, executor.StopAnswered{Call: c.Call, Run: c.Run})
+		none := executor.StopAnswered{Call: c.Call, Run: c.Run}
+		e.call(c.Timeout, func() executor.Event { return e.stop(c) }, none, none)
 	case executor.PollCall:
 		e.poll(c)
 	case executor.SendReport:
--- a/emulator/perfect.go
+++ b/emulator/perfect.go
@@ -8,8 +8,8 @@
 )
 
 // perfectQueue schedules all jobs from one queue with perfect knowledge of run times
-// and free capacity and without any delay. Deaths of entries and agents and
-// unanswered calls do not exist for it. What it serves is what a policy can be
+// and free capacity and without any delay. Deaths of entries and agents,
+// crashes of endpoints and unanswered calls do not exist for it; it refuses deadly jobs. What it serves is what a policy can be
 // compared with; as it is greedy, it is no strict bound.
 type perfectQueue struct {
 	sim       *simulation
@@ -43,6 +43,10 @@
 }
 
 func (q *perfectQueue) submit(j *job) {
+	if j.deadly {
+		q.sim.finish(j, outcomeRefused)
+		return
+	}
 	work := 0.0
 	for _, t := range j.works {
 		work += t.Seconds()
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -51,6 +51,14 @@
 	// starts beyond an endpoint's capacity. Both must be 0.
 	Overlaps     int `json:"overlaps"`
 	OverCapacity int `json:"over_capacity"`
+	// Crashes counts crashes of endpoints, DeadlyJobs the jobs that crash their
+	// endpoints, which are owed nothing and counted nowhere else, and OverBudget the
+	// starts of their tasks beyond the budget, which must be 0.
+	Crashes    int `json:"crashes"`
+	DeadlyJobs int `json:"deadly_jobs"`
+	OverBudget int `json:"over_budget"`
+	// GivenUp counts sound jobs that were answered as failed.
+	GivenUp int `json:"given_up"`
 	// Interrupted is set when the run was ended before its time.
 	Interrupted bool `json:"interrupted,omitempty"`
 }
@@ -89,9 +97,18 @@
 	return r
 }
 
-func (r *Result) submitted(j *job) { r.Classes[j.class].Jobs++ }
+func (r *Result) submitted(j *job) {
+	if j.deadly {
+		r.DeadlyJobs++
+		return
+	}
+	r.Classes[j.class].Jobs++
+}
 
 func (r *Result) ended(s *simulation, j *job, o outcome) {
+	if j.deadly {
+		return
+	}
 	c := &r.Classes[j.class]
 	value := s.experiment.Classes[j.class].Value
 	earned := 0.0
--- a/emulator/runner.go
+++ b/emulator/runner.go
@@ -68,8 +68,9 @@
 				continue
 			}
 			list.Results = append(list.Results, r)
-			if r.Overlaps+r.OverCapacity > 0 {
-				return report, fmt.Errorf("policy %s, seed %d: %d overlapping runs, %d starts over capacity", policy.name, r.Seed, r.Overlaps, r.OverCapacity)
+			if r.Overlaps+r.OverCapacity+r.OverBudget > 0 {
+				return report, fmt.Errorf("policy %s, seed %d: %d overlapping runs, %d starts over capacity, %d over the budget of crashes",
+					policy.name, r.Seed, r.Overlaps, r.OverCapacity, r.OverBudget)
 			}
 		}
 		report.Policies = append(report.Policies, list)
@@ -81,22 +82,23 @@
 // the seeds with their 95 % confidence intervals.
 func (r *Report) WriteTable(w io.Writer, x *Experiment) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	_, _ = fmt.Fprintln(table, "policy\truns\tworth\tworst windows\tworst class\tstarts\tmessages a start\tbusiest entry\t")
+	_, _ = fmt.Fprintln(table, "policy\truns\tworth\tworst windows\tworst class\tcrashes\tstarts\tmessages a start\tbusiest entry\t")
 	for _, p := range r.Policies {
 		interval := func(figure func(*Result) float64) string {
 			i := IntervalOf(p.Results, figure)
 			return fmt.Sprintf("%.3f ± %.3f", i.Mean, i.Half)
 		}
 		mean := func(figure func(*Result) float64) float64 { return IntervalOf(p.Results, figure).Mean }
-		_, _ = fmt.Fprintf(table, "%s\t%d\t%s\t%s\t%s\t%.0f\t%.2f\t%.2f\t\n", p.Policy, len(p.Results),
+		_, _ = fmt.Fprintf(table, "%s\t%d\t%s\t%s\t%s\t%.1f\t%.0f\t%.2f\t%.2f\t\n", p.Policy, len(p.Results),
 			interval(func(r *Result) float64 { return r.Worth }),
 			interval(func(r *Result) float64 { return r.WorstWindows }),
 			interval((*Result).WorstClass),
+			mean(func(r *Result) float64 { return float64(r.Crashes) }),
 			mean(func(r *Result) float64 { return float64(r.Starts) }),
 			mean(func(r *Result) float64 { return share(float64(r.Messages), float64(r.Starts)) }),
 			mean(func(r *Result) float64 { return r.BusiestEntry }))
 	}
-	_, _ = fmt.Fprintln(table, "\t\t\t\t\t\t\t\t")
+	_, _ = fmt.Fprintln(table, "\t\t\t\t\t\t\t\t\t")
 	_, _ = fmt.Fprintln(table, "policy\tclass\tworth\tin time\tlate\trefused\tfailed, too late\trefused after\t")
 	for _, p := range r.Policies {
 		for c, class := range x.Classes {
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -58,6 +58,8 @@
 	aliveRuns map[taskKey]int
 	// rateFactor multiplies the rates of the classes during bursts.
 	rateFactor []float64
+	// deadlyShare is, by class, the share of the jobs that are deadly.
+	deadlyShare []float64
 	// perfect replaces entries and agents in runs with perfect knowledge.
 	perfect *perfectQueue
 	result  *Result
@@ -78,6 +80,11 @@
 	entry  *entryNode
 	waiter scheduler.Waiter
 	done   bool
+	// deadly is set if the first task crashes each endpoint that starts it; crashes
+	// counts these, startsOverBudget the task's starts after as many as the budget
+	// allows.
+	deadly                    bool
+	crashes, startsOverBudget int
 }
 
 // Run plays an experiment with one seed. It returns what was played when ctx ends
@@ -94,7 +101,8 @@
 		experiment: x, timing: timing(),
 		random: rand.New(rand.NewPCG(uint64(seed), 0)), arrivals: rand.New(rand.NewPCG(uint64(seed), 1)),
 		links: map[uint64]*link{}, jobs: map[string]*job{},
-		waiters: map[scheduler.Waiter]*job{}, aliveRuns: map[taskKey]int{}, rateFactor: make([]float64, len(x.Classes)),
+		waiters: map[scheduler.Waiter]*job{}, aliveRuns: map[taskKey]int{},
+		rateFactor: make([]float64, len(x.Classes)), deadlyShare: make([]float64, len(x.Classes)),
 		result: newResult(x, seed),
 	}
 	for i := range s.rateFactor {
@@ -139,8 +147,9 @@
 			a := &agentNode{sim: s, name: fmt.Sprintf("agent-%d", len(s.agents))}
 			a.endpoint = &endpoint{
 				sim: s, agent: a, capacity: message.Resources{MilliCPU: int64(g.Cores * milliCPU)},
-				slowness: g.Slowness, highest: map[taskKey]int64{},
+				slowness: g.Slowness,
 			}
+			a.endpoint.boot()
 			for _, address := range subset.Preference(a.name, addresses) {
 				a.preference = append(a.preference, byName[address])
 			}
@@ -195,6 +204,7 @@
 	}
 	j.objective = time.Duration(c.Stretch*float64(longest)) + c.Slack
 	j.deadline = j.sent + minDeadline + deadlineObjectives*j.objective
+	j.deadly = s.deadlyShare[class] > 0 && s.arrivals.Float64() < s.deadlyShare[class]
 	s.jobs[j.id] = j
 	s.open++
 	s.result.submitted(j)
@@ -267,6 +277,9 @@
 	case a.Answer.Verdict == verdict.NotRun:
 		s.finish(j, outcomeRefused)
 	case a.Answer.Failed:
+		if a.Answer.Reason == verdict.ReasonTaskFailed && !j.deadly {
+			s.result.GivenUp++
+		}
 		s.finish(j, outcomeFailed)
 	default:
 		s.finish(j, j.completedAt(s.clock.now))
