--- /dev/null
+++ b/pool/executor/crash_test.go
@@ -0,0 +1,70 @@
+package executor
+
+import (
+	"testing"
+	"time"
+
+	"marjoramlug.example/marjoramlug/internal/knownred"
+	"marjoramlug.example/marjoramlug/message"
+)
+
+// acceptedRun orders a run and has the endpoint accept it.
+func (r *harness) acceptedRun(job string) message.RunRef {
+	r.orders(1, job, 1, 1000)
+	start := r.onlyStart()
+	r.answerStart(start, time.Millisecond)
+	return start.Run
+}
+
+// waitingPoll returns the poll in flight that waits for an end.
+func (r *harness) waitingPoll() CallID { return r.core.endpoint.waitingPoll }
+
+// TestRunsOfACrashedEndpointAreReportedAtOnce guards against sound tasks that miss
+// their objective because the loss of their run is reported only when its lease has
+// lapsed: nothing listens at the endpoint's address after it had accepted the run.
+func TestRunsOfACrashedEndpointAreReportedAtOnce(t *testing.T) {
+	r := readyHarness(t)
+	r.step(Tick{})
+	poll := r.waitingPoll()
+	run := r.acceptedRun("a")
+	r.now += 10 * time.Millisecond
+	r.step(PollAnswered{Call: poll, Result: PollNoAnswer})
+	r.now += time.Millisecond
+	r.step(PollAnswered{Call: r.waitingPoll(), Result: PollUnreachable})
+	ends := r.ends()
+	met := len(ends) == 1 && ends[0].Run == run && ends[0].Outcome == message.RunLost
+	knownred.Expect(t, met, "1 ms after the endpoint refused a connection these ends are reported: %+v", ends)
+}
+
+// TestStartIsNotRepeatedBeyondACapacityThatHasShrunk guards against starts that bring
+// an endpoint over its capacity (the users' rule LIMIT): a start is not answered, and
+// before it is sent again the endpoint reports less capacity.
+func TestStartIsNotRepeatedBeyondACapacityThatHasShrunk(t *testing.T) {
+	r := readyHarness(t)
+	r.orders(1, "a", 2, 4000)
+	starts := actionsOf[StartCall](r)
+	r.step(EndpointAnnounced{
+		Name: "i-1", EndpointIncarnation: 1, Seq: 2, Service: "s", Capacity: message.Resources{MilliCPU: 6000}, ClockMillis: 5002,
+	})
+	r.step(StartAnswered{Call: starts[0].Call, Run: starts[0].Run, Result: StartNoAnswer})
+	repeated := actionsOf[StartCall](r)
+	r.step(StartAnswered{Call: starts[1].Call, Run: starts[1].Run, Result: StartFenced, EndpointIncarnation: 1, Clock: Clock{5010 + r.now.Milliseconds(), true}})
+	repeated = append(repeated, actionsOf[StartCall](r)...)
+	knownred.Expect(t, len(repeated) == 0, "%d starts of 4000 each were sent again to an endpoint with 6000", len(repeated))
+}
+
+// TestUnknownRunKeepsCapacity guards against starts beside a run that this process has
+// not started and that is still being stopped (the users' rule LIMIT).
+func TestUnknownRunKeepsCapacity(t *testing.T) {
+	r := readyHarness(t)
+	r.step(Tick{})
+	unknown := message.RunRef{Job: "late", Number: 1}
+	r.now += 50 * time.Millisecond
+	r.step(PollAnswered{
+		Call: r.waitingPoll(), Result: PollAccepted, EndpointIncarnation: 1, Running: []AliveRun{{Run: unknown}},
+		Clock: Clock{Millis: 5010 + r.now.Milliseconds(), Known: true},
+	})
+	r.orders(1, "a", 1, 9000)
+	n := len(actionsOf[StartCall](r))
+	knownred.Expect(t, n == 0, "%d starts beside a run of unknown size that is being stopped", n)
+}
