Runs on a crashed endpoint are reported lost at once

Change: a call that finds nothing listening proves that a process that was alive before the call was sent has ended; its runs are lost. A start whose connection the endpoint closed before the answer (StartBroken) can't be on a later process either, and counts as under the crash. Runs accepted after the refused call was sent, and starts without an answer in time, are kept as before.

--- a/pool/executor/crash.go
+++ b/pool/executor/crash.go
@@ -25,7 +25,8 @@
 
 // recordCrash records that the endpoint's process has ended without notice. A
 // process that had announced its end, or under which nothing ran, is not recorded.
-// Runs whose only start is still in flight are left out, as it may not have arrived.
+// Runs whose only start is still in flight are left out, as it may not have arrived;
+// amendCrash adds them.
 func (c *Core) recordCrash() {
 	e := &c.endpoint
 	if !e.present || e.leaving {
@@ -33,7 +34,7 @@
 	}
 	record := message.EndpointCrash{Endpoint: e.name, Incarnation: e.incarnation}
 	for _, r := range c.runs.All() {
-		arrived := r.state != runStarting || r.unanswered
+		arrived := r.state != runStarting || r.uncertain()
 		if arrived && r.adoption == e.adoption && r.state != runInNextIncarnation {
 			record.Runs = append(record.Runs, c.crashedRun(r))
 		}
@@ -45,6 +46,21 @@
 	c.addCrash(record)
 }
 
+// amendCrash adds a run to the record of the crash of its endpoint.
+func (c *Core) amendCrash(r *run) {
+	e := &c.endpoint
+	record := message.EndpointCrash{Endpoint: e.name, Incarnation: e.incarnation}
+	for i, known := range c.crashes {
+		if known.Endpoint == e.name && known.Incarnation == e.incarnation {
+			record.Runs = known.Runs
+			c.crashes = slices.Delete(c.crashes, i, i+1)
+			break
+		}
+	}
+	record.Runs = append(record.Runs, c.crashedRun(r))
+	c.addCrash(record)
+}
+
 func (c *Core) crashedRun(r *run) message.CrashedRun {
 	c.counters.CrashedRuns++
 	return message.CrashedRun{Run: r.ref, Queue: r.queue, AgeMillis: (c.now - r.firstStart).Milliseconds()}
--- a/pool/executor/crash_test.go
+++ b/pool/executor/crash_test.go
@@ -4,7 +4,6 @@
 	"testing"
 	"time"
 
-	"marjoramlug.example/marjoramlug/internal/knownred"
 	"marjoramlug.example/marjoramlug/message"
 
 	"github.com/matryer/is"
@@ -34,8 +33,9 @@
 	r.now += time.Millisecond
 	r.step(PollAnswered{Call: r.waitingPoll(), Result: PollUnreachable})
 	ends := r.ends()
-	met := len(ends) == 1 && ends[0].Run == run && ends[0].Outcome == message.RunLost
-	knownred.Expect(t, met, "1 ms after the endpoint refused a connection these ends are reported: %+v", ends)
+	if len(ends) != 1 || ends[0].Run != run || ends[0].Outcome != message.RunLost {
+		t.Errorf("1 ms after the endpoint refused a connection these ends are reported: %+v", ends)
+	}
 }
 
 // TestStartIsNotRepeatedBeyondACapacityThatHasShrunk guards against starts that bring
@@ -127,6 +127,88 @@
 	r.step(StartAnswered{Call: start.Call, Run: start.Run, Result: StartAccepted, EndpointIncarnation: incarnation, Clock: Clock{5010 + r.now.Milliseconds(), true}})
 }
 
+// TestEndOfALeavingEndpointIsNoCrash guards against tasks that are suspected because an
+// endpoint was taken away as announced.
+func TestEndOfALeavingEndpointIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	r := readyHarness(t)
+	r.step(Tick{})
+	r.acceptedRun("a")
+	r.step(EndpointAnnounced{
+		Name: "i-1", EndpointIncarnation: 1, Seq: 2, Service: "s", Capacity: message.Resources{MilliCPU: 10000}, Leaving: true, ClockMillis: 5002,
+	})
+	r.refuse()
+	is.Equal(len(r.crashes()), 0)
+	is.Equal(len(r.ends()), 1)
+}
+
+// TestCrashUnderAStartWithoutAnswer guards against a deadly task that is not counted
+// because its endpoint crashes before it answers the start, and against a sound one that
+// waits for the endpoint's next process: the connection breaks, and nothing listens.
+func TestCrashUnderAStartWithoutAnswer(t *testing.T) {
+	for _, brokenFirst := range []bool{true, false} {
+		is := is.New(t)
+		r := readyHarness(t)
+		r.step(Tick{})
+		other := r.acceptedRun("other")
+		r.now += 10 * time.Millisecond
+		r.orders(1, "a", 1, 1000)
+		start := r.onlyStart()
+		broken := StartAnswered{Call: start.Call, Run: start.Run, Result: StartBroken}
+		var ends []message.RunEnd
+		var crashes []message.EndpointCrash
+		collect := func() { ends, crashes = append(ends, r.ends()...), append(crashes, r.crashes()...) }
+		if brokenFirst {
+			r.step(broken)
+			again := r.onlyStart()
+			r.step(StartAnswered{Call: again.Call, Run: again.Run, Result: StartUnreachable})
+			collect()
+		} else {
+			r.refuse()
+			collect()
+			r.step(broken)
+			collect()
+		}
+		is.Equal(len(ends), 2)
+		for _, end := range ends {
+			is.Equal(end.Outcome, message.RunLost)
+		}
+		last := crashes[len(crashes)-1]
+		is.Equal(len(last.Runs), 2)
+		is.Equal(last.Runs[0].Run, other)
+		is.Equal(last.Runs[1].Run, start.Run)
+	}
+}
+
+// TestStartThatFoundNothingListeningIsNotUnderTheCrash guards against a task that is
+// suspected though it never reached the endpoint.
+func TestStartThatFoundNothingListeningIsNotUnderTheCrash(t *testing.T) {
+	is := is.New(t)
+	r := readyHarness(t)
+	r.step(Tick{})
+	r.acceptedRun("a")
+	r.orders(1, "b", 1, 1000)
+	start := r.onlyStart()
+	r.step(StartAnswered{Call: start.Call, Run: start.Run, Result: StartUnreachable})
+	is.Equal(len(r.crashes()), 1)
+	is.Equal(len(r.crashes()[0].Runs), 1)
+	is.Equal(r.crashes()[0].Runs[0].Run.Job, "a")
+}
+
+// TestRunOfUnknownLifeIsKept guards against two runs of one task at a time: a run that
+// was accepted after the refused call was sent may be on the endpoint's next process.
+func TestRunOfUnknownLifeIsKept(t *testing.T) {
+	is := is.New(t)
+	r := readyHarness(t)
+	r.step(Tick{})
+	poll := r.waitingPoll()
+	r.now += time.Millisecond
+	r.acceptedRun("a")
+	r.step(PollAnswered{Call: poll, Result: PollUnreachable})
+	is.Equal(len(r.ends()), 0)
+	is.Equal(r.core.Runs(), 1)
+}
+
 // TestSuspectsOfTwoEntriesAreKeptApart guards against two suspects on one endpoint,
 // of which a crash could not tell the cause: the agent refuses the second entry's.
 func TestSuspectsOfTwoEntriesAreKeptApart(t *testing.T) {
--- a/pool/executor/endpoint.go
+++ b/pool/executor/endpoint.go
@@ -20,6 +20,8 @@
 	labels      []string
 	leaving     bool
 	present     bool
+	// crashed is set when nothing listened at the endpoint's address.
+	crashed bool
 	// version rises with each change that is reported to entries.
 	version uint64
 	// adoption numbers the incarnations of endpoints that this process has adopted.
@@ -56,9 +58,9 @@
 	// consecutive failed polls, pollFailedSince the time of the first of them.
 	pollFailed, pollFailedSince time.Duration
 	pollFailures                int
-	// promptPollSent is the time at which promptPoll was sent.
-	promptPollSent time.Duration
-	roundTrip      roundTrip
+	// waitingPollSent and promptPollSent are the times at which these polls were sent.
+	waitingPollSent, promptPollSent time.Duration
+	roundTrip                       roundTrip
 	// reconciled is set once a poll of this process has shown that only its own runs
 	// are alive.
 	reconciled bool
@@ -144,13 +146,35 @@
 	c.removeEndpoint("endpoint left")
 }
 
-// endpointCrashed handles an address at which nothing listens: the endpoint's
-// process has ended, and with it all its runs.
-func (c *Core) endpointCrashed() {
-	if c.endpoint.present {
-		c.recordCrash()
-		c.removeEndpoint("endpoint unreachable")
+// endpointCrashed handles a call, sent at the given time, that found nothing listening
+// at the endpoint's address: the endpoint's process has ended, and with it all its
+// runs.
+func (c *Core) endpointCrashed(callSent time.Duration) {
+	if !c.endpoint.present {
+		return
+	}
+	c.recordCrash()
+	for _, r := range c.runs.All() {
+		if r.endedBefore(callSent) {
+			c.end(r, message.RunLost)
+		}
+	}
+	c.removeEndpoint("endpoint unreachable")
+	c.endpoint.crashed = true
+}
+
+// endedBefore reports whether a run has certainly ended if nothing listened at the
+// endpoint's address at some time after callSent: the process that had it was known to
+// live before, or had closed the connection on which the start was sent. An earlier
+// incarnation can't have accepted it later, and a later one was never sent it.
+func (r *run) endedBefore(callSent time.Duration) bool {
+	switch r.state {
+	case runAlive:
+		return r.aliveAt <= callSent
+	case runUnconfirmed:
+		return r.broken && !r.unanswered
 	}
+	return false
 }
 
 // endpointRestarted handles an answer that shows a later incarnation of the endpoint.
--- a/pool/executor/event.go
+++ b/pool/executor/event.go
@@ -69,6 +69,10 @@
 const (
 	// StartNoAnswer means that the start may have been, or may yet be, carried out.
 	StartNoAnswer StartResult = iota
+	// StartBroken means that the endpoint closed the connection before it answered: the
+	// start may have been, or may yet be, carried out, but by no later process of the
+	// endpoint.
+	StartBroken
 	// StartAccepted means that the endpoint has accepted the start and the task runs.
 	StartAccepted
 	// StartFenced means that the endpoint has seen a higher fencing token.
--- a/pool/executor/poll.go
+++ b/pool/executor/poll.go
@@ -43,7 +43,7 @@
 		if c.stopping && c.runs.Len() == 0 {
 			wait = 0
 		}
-		e.waitingPoll, e.waitingPollAck = c.sendPoll(wait), e.seenEnd
+		e.waitingPoll, e.waitingPollAck, e.waitingPollSent = c.sendPoll(wait), e.seenEnd, c.now
 	}
 }
 
@@ -71,9 +71,9 @@
 	if promptPoll && ev.Result == PollAccepted {
 		e.roundTrip.answered(c.now - e.promptPollSent)
 	}
-	acked := e.waitingPollAck
+	acked, sent := e.waitingPollAck, e.waitingPollSent
 	if promptPoll {
-		e.promptPoll, acked = 0, e.promptPollAck
+		e.promptPoll, acked, sent = 0, e.promptPollAck, e.promptPollSent
 	} else {
 		e.waitingPoll = 0
 	}
@@ -94,7 +94,7 @@
 		e.mismatched = true
 		c.pollFailed()
 	case PollUnreachable:
-		c.endpointCrashed()
+		c.endpointCrashed(sent)
 	case PollNoAnswer:
 		e.wantPromptPoll = e.wantPromptPoll || promptPoll
 		e.roundTrip.timedOut()
@@ -151,7 +151,7 @@
 			c.emit(Note{What: "run stalled", Run: ref, Subject: e.name, Detail: fmt.Sprintf("at %v %%", listed.Percent)})
 			c.stop(r)
 		}
-		r.percent, r.percentAt = listed.Percent, c.now
+		r.percent, r.percentAt, r.aliveAt = listed.Percent, c.now, c.now
 		if r.state == runUnconfirmed || r.state == runInNextIncarnation {
 			r.state = runAlive
 			if r.acceptedAt == 0 {
--- a/pool/executor/run.go
+++ b/pool/executor/run.go
@@ -39,6 +39,8 @@
 	// acceptedAt is the time at which the endpoint's answer to the start arrived, or
 	// at which the last start was sent if a poll has shown that the run is alive.
 	acceptedAt time.Duration
+	// aliveAt is the time of the last answer that has shown the run alive.
+	aliveAt time.Duration
 	// estimate is the duration that the caller expects, percent the progress that
 	// the endpoint reported at percentAt.
 	estimate  time.Duration
@@ -52,11 +54,13 @@
 	stalled bool
 	// starts counts the starts sent; fence is that of the last one, and adoption
 	// the endpoint's adoption for which it was sent. unanswered is set if one of the
-	// starts was not answered: the endpoint may have carried it out.
-	starts     int
-	unanswered bool
-	fence      int64
-	adoption   uint64
+	// starts was not answered in time: the endpoint may have carried it out, or may do
+	// so later. broken is set if the endpoint closed the connection of one of them
+	// before it answered: its process at that time may have carried it out.
+	starts             int
+	unanswered, broken bool
+	fence              int64
+	adoption           uint64
 	// firstStart is the time at which the first start was sent.
 	firstStart time.Duration
 	// conclusiveFrom is the first call whose list of runs includes this one if it is
@@ -157,14 +161,18 @@
 		r.conclusiveFrom = CallID(c.calls + 1)
 		return
 	}
-	if ev.Result != StartNoAnswer && ev.Result != StartUnreachable {
+	if ev.Result > StartBroken && ev.Result != StartUnreachable {
 		c.endpoint.roundTrip.answered(c.now - r.startSent)
 	}
 	switch ev.Result {
 	case StartAccepted:
-		r.state, r.acceptedAt = runAlive, c.now
+		r.state, r.acceptedAt, r.aliveAt = runAlive, c.now, c.now
 		r.conclusiveFrom = CallID(c.calls + 1)
 	case StartNoAnswer:
+		r.unanswered = true
+		c.startUnanswered(r)
+	case StartBroken:
+		r.broken = true
 		c.startUnanswered(r)
 	case StartFenced, StartExpired:
 		c.startAgain(r, ev)
@@ -172,8 +180,7 @@
 		c.endpoint.mismatched = true
 		c.startRejected(r, message.CauseUnreachable)
 	case StartUnreachable:
-		c.startRejected(r, message.CauseUnreachable)
-		c.endpointCrashed()
+		c.startUnreachable(r)
 	case StartOutdated:
 		c.startRejected(r, message.CauseStaleNumber)
 	case StartNoCapacity:
@@ -191,9 +198,13 @@
 // another effect. After maxStarts, or when the endpoint has changed, a poll decides.
 func (c *Core) startUnanswered(r *run) {
 	e := &c.endpoint
-	r.unanswered = true
 	e.roundTrip.timedOut()
 	c.emit(Note{What: "start not answered", Run: r.ref, Subject: e.name})
+	if e.crashed && r.adoption == e.adoption && !r.unanswered {
+		c.amendCrash(r)
+		c.end(r, message.RunLost)
+		return
+	}
 	if !e.present || r.adoption != e.adoption || r.stopWanted || r.starts >= maxStarts || c.overCommitted() {
 		c.startUnconfirmed(r)
 		return
@@ -203,6 +214,24 @@
 	c.sendStart(r)
 }
 
+// startUnreachable handles a start that found nothing listening at the endpoint's
+// address. The process that had an earlier start of the run has ended by then, if that
+// one is known to have reached it.
+func (c *Core) startUnreachable(r *run) {
+	if !r.uncertain() {
+		sent := r.startSent
+		c.endRefused(r, message.CauseUnreachable)
+		c.endpointCrashed(sent)
+		return
+	}
+	c.endpointCrashed(r.startSent)
+	if r.unanswered {
+		c.startUnconfirmed(r)
+		return
+	}
+	c.end(r, message.RunLost)
+}
+
 // startUnconfirmed leaves it to a poll under a higher fence whether the endpoint
 // has carried a start out.
 func (c *Core) startUnconfirmed(r *run) {
@@ -219,7 +248,7 @@
 // or an expired lease.
 func (c *Core) startAgain(r *run, ev StartAnswered) {
 	switch {
-	case r.stopWanted, r.starts >= maxStarts, r.unanswered && r.adoption != c.endpoint.adoption:
+	case r.stopWanted, r.starts >= maxStarts, r.uncertain() && r.adoption != c.endpoint.adoption:
 		c.startRejected(r, message.CauseStale)
 		return
 	case c.overCommitted():
@@ -236,13 +265,17 @@
 // start of the run was not answered, the endpoint may have carried that one out, so
 // that a poll decides.
 func (c *Core) startRejected(r *run, cause message.RunCause) {
-	if r.unanswered {
+	if r.uncertain() {
 		c.startUnconfirmed(r)
 		return
 	}
 	c.endRefused(r, cause)
 }
 
+// uncertain reports whether the endpoint may have carried out a start of the run that
+// it has not answered.
+func (r *run) uncertain() bool { return r.unanswered || r.broken }
+
 // overCommitted reports whether the runs together exceed the endpoint's capacity, which
 // may have shrunk since they were accepted.
 func (c *Core) overCommitted() bool { return !c.used.Fits(c.endpoint.capacity) }
