--- a/emulator/nodes.go
+++ b/emulator/nodes.go
@@ -116,7 +116,7 @@
 	case scheduler.ShareCrashes:
 		for _, other := range n.sim.entries {
 			if other != n {
-				n.sim.clock.after(n.sim.delay(), func() { other.deliver(scheduler.CrashesShared{Notice: action.Notice}) })
+				n.sim.clock.after(n.sim.delay(), func() { other.deliver(scheduler.CrashesShared(action)) })
 			}
 		}
 	}
