A restarted task tells two crashes apart

Cause: two crashes within 50 ms counted as one event with a common cause, unless the youngest run of a shared job was younger than the gap between the reports. A deadly task crashes its next endpoint 12 to 17 ms later, so that a report that was 2 ms late decided. In a fleet with 20 crashes a second two fall into 50 ms by chance, and the weight of a common cause did not depend on that.

Change: crashes are one event only if no run under the later one was started after the earlier one and no task had another run under each (run numbers now decide; records passed on to other entries lacked them). The weight of a common cause falls with the number of crashes of the last second.

--- a/pool/scheduler/blame.go
+++ b/pool/scheduler/blame.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -21,11 +22,13 @@
 	minCrashAge   = 5 * time.Millisecond
 	otherCauseAge = 50 * time.Millisecond
 	// simultaneousCrashes is the time within which crashes of several endpoints count as
-	// simultaneous. simultaneousWeight multiplies the weight of another cause for these,
-	// sharedJobWeight if a job was on several of the endpoints.
+	// simultaneous, reportDelay the usual difference between the delays of two reports.
 	simultaneousCrashes = 50 * time.Millisecond
-	simultaneousWeight  = 300.0
-	sharedJobWeight     = 10.0
+	reportDelay         = 2 * time.Millisecond
+	// simultaneousWeight is the largest factor by which another cause is more likely for
+	// simultaneous crashes, sharedJobWeight the factor if a job was on all endpoints.
+	simultaneousWeight = 300.0
+	sharedJobWeight    = 10.0
 )
 
 // assessWithSimultaneous divides the blame for a crash and for those that happened at
@@ -41,9 +44,9 @@
 	otherCauses := 1.0
 	if len(event) > 1 {
 		c.restorePriors(event)
-		otherCauses = simultaneousWeight
+		otherCauses = c.commonCauseWeight(event)
 		if shareJob(event) {
-			otherCauses = sharedJobWeight
+			otherCauses = min(otherCauses, sharedJobWeight)
 		}
 	}
 	for _, member := range event {
@@ -76,12 +79,50 @@
 	}
 }
 
+// commonCauseWeight returns the factor by which a common cause is more likely for
+// simultaneous crashes than chance: the more endpoints have crashed in the second before,
+// the more often several do within simultaneousCrashes.
+func (c *Core) commonCauseWeight(event []*crashRecord) float64 {
+	first := slices.MinFunc(event, func(a, b *crashRecord) int { return cmp.Compare(a.at, b.at) }).at
+	before := 0.0
+	for _, k := range c.crashes.All() {
+		if k.at < first && first-k.at <= time.Second {
+			before++
+		}
+	}
+	byChance := before * simultaneousCrashes.Seconds()
+	return min(max(1, math.Pow(byChance, 1-float64(len(event)))), simultaneousWeight)
+}
+
+// isSimultaneous reports whether two crashes may have the same cause. They have not if a
+// run under the later one was started after the earlier one: what strikes several
+// endpoints strikes them at once.
 func (k *crashRecord) isSimultaneous(other *crashRecord) bool {
 	first, second := k, other
 	if first.at > second.at {
 		first, second = second, first
 	}
-	return second.at-first.at <= simultaneousCrashes && !first.isFollowedBy(second)
+	gap := second.at - first.at
+	if gap > simultaneousCrashes {
+		return false
+	}
+	return !slices.ContainsFunc(second.jobs, func(cj *crashedJob) bool {
+		return cj.age+reportDelay < gap || cj.isRestartOf(first)
+	})
+}
+
+// isRestartOf reports whether a task of the job had another run under another crash.
+func (cj *crashedJob) isRestartOf(other *crashRecord) bool {
+	at := slices.IndexFunc(other.jobs, func(o *crashedJob) bool { return o.suspect == cj.suspect })
+	if at < 0 {
+		return false
+	}
+	for task, number := range cj.runs.All() {
+		if earlier := other.jobs[at].runs.Get(task); earlier != 0 && earlier != number {
+			return true
+		}
+	}
+	return false
 }
 
 // shareJob reports whether a job was under all crashes of an event.
@@ -93,16 +134,6 @@
 	})
 }
 
-// isFollowedBy reports whether a job under the crash was started again before the
-// second one, and was under that one too.
-func (k *crashRecord) isFollowedBy(second *crashRecord) bool {
-	return slices.ContainsFunc(k.jobs, func(a *crashedJob) bool {
-		return slices.ContainsFunc(second.jobs, func(b *crashedJob) bool {
-			return a.suspect == b.suspect && b.age < second.at-k.at
-		})
-	})
-}
-
 // assess divides the blame for a crash.
 func (c *Core) assess(k *crashRecord) {
 	total := k.otherCauses * otherCauseRisk / otherCauseAge.Seconds() / crashAgeRange
--- a/pool/scheduler/crash.go
+++ b/pool/scheduler/crash.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"marjoramlug.example/marjoramlug/kernel"
 	"marjoramlug.example/marjoramlug/message"
 )
 
@@ -46,7 +47,8 @@
 type crashedJob struct {
 	suspect *suspect
 	queue   *queue
-	tasks   []int
+	// runs holds the number of the run of each of its tasks.
+	runs kernel.OrderedMap[int, int64]
 	// age is the time from the start of its youngest run to the crash.
 	age time.Duration
 	// known is the job's blame for earlier crashes. prior is the probability that it is
@@ -135,10 +137,10 @@
 		k.jobs[at].age = age
 	}
 	cj := k.jobs[at]
-	if slices.Contains(cj.tasks, r.Run.Task) {
+	if cj.runs.Has(r.Run.Task) {
 		return false
 	}
-	cj.tasks = append(cj.tasks, r.Run.Task)
+	cj.runs.Set(r.Run.Task, r.Run.Number)
 	cj.age = min(cj.age, age)
 	cj.suspect.crashes[r.Run.Task]++
 	return true
@@ -242,9 +244,9 @@
 			Endpoint: id.endpoint, Incarnation: id.incarnation, AgoMillis: (c.now - k.at).Milliseconds(),
 		}
 		for _, cj := range k.jobs {
-			for _, task := range cj.tasks {
+			for task, number := range cj.runs.All() {
 				crash.Runs = append(crash.Runs, message.CrashedRun{
-					Run: message.RunRef{Job: cj.suspect.job, Task: task}, Queue: cj.queue.name, AgeMillis: cj.age.Milliseconds(),
+					Run: message.RunRef{Job: cj.suspect.job, Task: task, Number: number}, Queue: cj.queue.name, AgeMillis: cj.age.Milliseconds(),
 				})
 			}
 		}
--- a/pool/scheduler/crash_test.go
+++ b/pool/scheduler/crash_test.go
@@ -285,3 +285,44 @@
 		}
 	})
 }
+
+// TestRestartedTaskIsBlamedForBothCrashes guards against a deadly task that crashes three
+// to five endpoints because two crashes under it count as one event: it is started again
+// at once and crashes the next endpoint 12 ms after the first.
+func TestRestartedTaskIsBlamedForBothCrashes(t *testing.T) {
+	sim := newSimulation(t, 4, 64000)
+	sim.load(2*time.Second, map[jobKind]float64{check: 10, label: 30})
+	for i := range 2 {
+		deadly := under("deadly", 0, check.queue, 12*time.Millisecond)
+		deadly.Run.Number = int64(i + 1)
+		sim.core.recordCrashes([]message.EndpointCrash{endpointCrash(fmt.Sprint("endpoint-", i), deadly,
+			under(fmt.Sprint("young-", i), 0, check.queue, 5*time.Millisecond),
+			under(fmt.Sprint("old-", i), 0, label.queue, 150*time.Millisecond))}, true)
+		sim.now += 12 * time.Millisecond
+		sim.apply(Tick{})
+	}
+	if s := sim.core.suspects.Get("deadly"); !s.givenUp {
+		t.Errorf("not given up after two crashes, blame %.2f", s.blame)
+	}
+}
+
+// TestFrequentCrashesAreNotOneEvent guards against a deadly queue of a large fleet that
+// is never confined: so many endpoints crash that two often do within milliseconds.
+func TestFrequentCrashesAreNotOneEvent(t *testing.T) {
+	const crashes = 12
+	sim := newSimulation(t, 40, 64000)
+	sim.load(2*time.Second, map[jobKind]float64{check: 50, label: 150})
+	for i := range crashes {
+		sim.core.recordCrashes([]message.EndpointCrash{endpointCrash(fmt.Sprint("endpoint-", i),
+			under(fmt.Sprint("deadly-", i), 0, check.queue, 12*time.Millisecond),
+			under(fmt.Sprint("old-", i), 0, label.queue, 150*time.Millisecond))}, true)
+		sim.now += 5 * time.Millisecond
+		if i%2 == 1 {
+			sim.now += 30 * time.Millisecond
+		}
+		sim.apply(Tick{})
+	}
+	if q := sim.core.queues[check.queue]; !q.deadly {
+		t.Errorf("not confined after %d crashes under its jobs, blame %.2f", crashes, q.blame)
+	}
+}
