Jobs are failed only after crashes under runs that endpoints had

Cause: a start whose connection breaks counts as under the crash, also if the endpoint had crashed under another job before the start arrived.

Change: agents mark runs under a crash that the endpoint was never seen to have. They count for suspicion and for the budget of starts, but a job is answered as failed only if two endpoints crashed under confirmed runs of one task; without, a job that is given up gets 504. A job whose earlier submission ran is never told that it has not run.

TestJobIsNotFailedForCrashesWithoutItsRun failed before (given up).

--- a/message/crash.go
+++ b/message/crash.go
@@ -19,6 +19,9 @@
 	Queue string `cbor:"2,keyasint,omitempty"`
 	// AgeMillis is the time in milliseconds from the start to the crash.
 	AgeMillis int64 `cbor:"3,keyasint,omitempty"`
+	// Unconfirmed is set if the endpoint was never seen to have the run: it may have
+	// crashed before the start arrived.
+	Unconfirmed bool `cbor:"4,keyasint,omitempty"`
 }
 
 // CrashNotice tells other entries of crashes, so that what is known of a job outlives
--- a/pool/executor/crash.go
+++ b/pool/executor/crash.go
@@ -63,7 +63,9 @@
 
 func (c *Core) crashedRun(r *run) message.CrashedRun {
 	c.counters.CrashedRuns++
-	return message.CrashedRun{Run: r.ref, Queue: r.queue, AgeMillis: (c.now - r.firstStart).Milliseconds()}
+	return message.CrashedRun{
+		Run: r.ref, Queue: r.queue, AgeMillis: (c.now - r.firstStart).Milliseconds(), Unconfirmed: r.acceptedAt == 0,
+	}
 }
 
 func (c *Core) addCrash(record message.EndpointCrash) {
--- a/pool/executor/crash_test.go
+++ b/pool/executor/crash_test.go
@@ -177,6 +177,8 @@
 		is.Equal(len(last.Runs), 2)
 		is.Equal(last.Runs[0].Run, other)
 		is.Equal(last.Runs[1].Run, start.Run)
+		is.True(!last.Runs[0].Unconfirmed)
+		is.True(last.Runs[1].Unconfirmed) // its job can't be called failed for this crash
 	}
 }
 
--- a/pool/scheduler/blame.go
+++ b/pool/scheduler/blame.go
@@ -107,18 +107,29 @@
 		return false
 	}
 	return !slices.ContainsFunc(second.jobs, func(cj *crashedJob) bool {
-		return cj.age+reportDelay < gap || cj.isRestartOf(first)
+		return cj.startedWithin(gap-reportDelay) || cj.isRestartOf(first)
 	})
 }
 
+// startedWithin reports whether the endpoint certainly had a run of the job that was
+// started less than a time before the crash.
+func (cj *crashedJob) startedWithin(d time.Duration) bool {
+	for _, r := range cj.runs.All() {
+		if !r.unconfirmed && r.age < d {
+			return true
+		}
+	}
+	return false
+}
+
 // isRestartOf reports whether a task of the job had another run under another crash.
 func (cj *crashedJob) isRestartOf(other *crashRecord) bool {
 	at := slices.IndexFunc(other.jobs, func(o *crashedJob) bool { return o.suspect == cj.suspect })
 	if at < 0 {
 		return false
 	}
-	for task, number := range cj.runs.All() {
-		if earlier := other.jobs[at].runs.Get(task); earlier != 0 && earlier != number {
+	for task, r := range cj.runs.All() {
+		if earlier := other.jobs[at].runs; earlier.Has(task) && earlier.Get(task).number != r.number {
 			return true
 		}
 	}
--- a/pool/scheduler/crash.go
+++ b/pool/scheduler/crash.go
@@ -18,7 +18,8 @@
 	// strongBlame is the blame from which a job is more likely deadly than not.
 	strongBlame = 0.5
 	// certainBlame and crashesToGiveUp are the blame of a job and the number of
-	// crashes under one of its tasks from which it is given up.
+	// confirmed crashes under one of its tasks from which it is given up as failed. The
+	// users forbid it after fewer crashes.
 	certainBlame    = 0.9
 	crashesToGiveUp = 2
 	// budgetCrashes is the number of crashes under a suspect's task after which it gets at
@@ -47,8 +48,8 @@
 type crashedJob struct {
 	suspect *suspect
 	queue   *queue
-	// runs holds the number of the run of each of its tasks.
-	runs kernel.OrderedMap[int, int64]
+	// runs holds the run of each of its tasks.
+	runs kernel.OrderedMap[int, crashedRun]
 	// age is the time from the start of its youngest run to the crash.
 	age time.Duration
 	// known is the job's blame for earlier crashes. prior is the probability that it is
@@ -62,27 +63,40 @@
 	weight, counted float64
 }
 
+// crashedRun is a run under a crash, which the endpoint is not known to have had if
+// unconfirmed is set.
+type crashedRun struct {
+	number      int64
+	age         time.Duration
+	unconfirmed bool
+}
+
 // suspect is a job under which endpoints have crashed.
 type suspect struct {
 	job string
 	// blame is the probability that the job crashes endpoints.
 	blame float64
-	// crashes counts the crashes under each task, starts the starts of a task after
-	// budgetCrashes of them.
-	crashes, starts map[int]int
-	records         []*crashRecord
-	lastCrash       time.Duration
+	// crashes counts the crashes under each task, confirmed those under runs that the
+	// endpoint certainly had, starts the starts of a task after budgetCrashes crashes.
+	crashes, confirmed, starts map[int]int
+	records                    []*crashRecord
+	lastCrash                  time.Duration
 	// givenUp is set when the job is known to crash its endpoints.
 	givenUp bool
 }
 
 // mostCrashes returns the largest number of crashes under one task.
-func (s *suspect) mostCrashes() int {
-	most := 0
-	for _, n := range s.crashes {
-		most = max(most, n)
+func (s *suspect) mostCrashes() int { return most(s.crashes) }
+
+// mayFail reports whether the job may be answered as failed.
+func (s *suspect) mayFail() bool { return most(s.confirmed) >= crashesToGiveUp }
+
+func most(counts map[int]int) int {
+	n := 0
+	for _, count := range counts {
+		n = max(n, count)
 	}
-	return most
+	return n
 }
 
 // recordCrashes takes in crashes that an agent or another entry has reported. Those
@@ -140,9 +154,12 @@
 	if cj.runs.Has(r.Run.Task) {
 		return false
 	}
-	cj.runs.Set(r.Run.Task, r.Run.Number)
+	cj.runs.Set(r.Run.Task, crashedRun{number: r.Run.Number, age: age, unconfirmed: r.Unconfirmed})
 	cj.age = min(cj.age, age)
 	cj.suspect.crashes[r.Run.Task]++
+	if !r.Unconfirmed {
+		cj.suspect.confirmed[r.Run.Task]++
+	}
 	return true
 }
 
@@ -158,7 +175,7 @@
 	}
 	s := c.suspects.Get(r.Run.Job)
 	if s == nil {
-		s = &suspect{job: r.Run.Job, crashes: map[int]int{}, starts: map[int]int{}}
+		s = &suspect{job: r.Run.Job, crashes: map[int]int{}, confirmed: map[int]int{}, starts: map[int]int{}}
 		c.suspects.Set(s.job, s)
 	}
 	cj.known = s.blame
@@ -174,7 +191,7 @@
 
 // judge gives a job up when it is known to crash its endpoints.
 func (c *Core) judge(s *suspect) {
-	if s.givenUp || s.mostCrashes() < crashesToGiveUp || s.blame < certainBlame {
+	if s.givenUp || !s.mayFail() || s.blame < certainBlame {
 		return
 	}
 	c.giveUp(s, "endpoints crash under it")
@@ -185,8 +202,18 @@
 	c.counters.GivenUp++
 	c.emit(Note{What: "job given up", Job: s.job, Detail: cause})
 	if j := c.jobs[s.job]; j != nil {
-		c.finish(j, JobFailed, cause)
+		c.finishGivenUp(j, cause)
+	}
+}
+
+// finishGivenUp answers a job that has been given up: as failed if enough endpoints have
+// crashed under it for certain.
+func (c *Core) finishGivenUp(j *job, cause string) {
+	outcome := JobExpired
+	if j.suspect.mayFail() {
+		outcome = JobFailed
 	}
+	c.finish(j, outcome, cause)
 }
 
 // withinBudget reports whether a task may be started, and gives its job up if too many
@@ -244,9 +271,10 @@
 			Endpoint: id.endpoint, Incarnation: id.incarnation, AgoMillis: (c.now - k.at).Milliseconds(),
 		}
 		for _, cj := range k.jobs {
-			for task, number := range cj.runs.All() {
+			for task, r := range cj.runs.All() {
 				crash.Runs = append(crash.Runs, message.CrashedRun{
-					Run: message.RunRef{Job: cj.suspect.job, Task: task, Number: number}, Queue: cj.queue.name, AgeMillis: cj.age.Milliseconds(),
+					Run: message.RunRef{Job: cj.suspect.job, Task: task, Number: r.number}, Unconfirmed: r.unconfirmed,
+					Queue: cj.queue.name, AgeMillis: r.age.Milliseconds(),
 				})
 			}
 		}
--- a/pool/scheduler/crash_test.go
+++ b/pool/scheduler/crash_test.go
@@ -326,3 +326,33 @@
 		t.Errorf("not confined after %d crashes under its jobs, blame %.2f", crashes, q.blame)
 	}
 }
+
+// TestJobIsNotFailedForCrashesWithoutItsRun guards against a job that is answered as
+// failed after one crash (the users allow it after two): the first endpoint had crashed
+// under another job while the start was on its way. Its answer must not say either that
+// it has not run.
+func TestJobIsNotFailedForCrashesWithoutItsRun(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 4, 64000)
+	sim.load(time.Second, map[jobKind]float64{check: 10})
+	for i := range 5 {
+		r := under("unlucky", 0, check.queue, 12*time.Millisecond)
+		r.Run.Number, r.Unconfirmed = int64(i+1), i != 1
+		sim.core.recordCrashes([]message.EndpointCrash{endpointCrash(fmt.Sprint("endpoint-", i), r)}, true)
+		sim.now += 100 * time.Millisecond
+		sim.apply(Tick{})
+	}
+	s := sim.core.suspects.Get("unlucky")
+	is.True(s.blame > certainBlame)
+	is.True(!s.givenUp)
+	is.Equal(s.mostCrashes(), 5) // all count for the number of starts that it may still have
+	sim.core.giveUp(s, "no start is left")
+	unlucky := *sim.submitExactly(oneTask, 300*time.Millisecond, 300*time.Millisecond).Job
+	unlucky.ID = s.job
+	sim.lastWaiter++
+	again := &testJob{Job: &unlucky, sent: sim.now}
+	sim.jobs[sim.lastWaiter] = again
+	sim.apply(JobSubmitted{Waiter: sim.lastWaiter, Job: again.Job})
+	is.True(again.answer.Reason != verdict.ReasonTaskFailed)
+	is.Equal(again.answer.Verdict, verdict.MayHaveRun)
+}
--- a/pool/scheduler/job.go
+++ b/pool/scheduler/job.go
@@ -99,7 +99,7 @@
 	j.suspect = c.suspects.Get(in.ID)
 	switch {
 	case j.suspect != nil && j.suspect.givenUp:
-		c.finish(j, JobFailed, "endpoints crashed under an earlier submission")
+		c.finishGivenUp(j, "endpoints crashed under an earlier submission")
 	case c.stopping:
 		c.finish(j, JobRefused, "this entry is stopping")
 	case c.waiting > c.opts.MaxWaiting:
@@ -172,7 +172,7 @@
 
 func (c *Core) answerFor(j *job, outcome Outcome, cause string) message.JobAnswer {
 	answer := message.JobAnswer{Failed: true, Detail: cause, Verdict: verdict.MayHaveRun}
-	if j.runs == 0 {
+	if j.runs == 0 && j.suspect == nil {
 		answer.Verdict = verdict.NotRun
 	}
 	switch outcome {
