Deadly queues are confined to the capacity that others can spare

Cause: a deadly queue got a quarter of the endpoints whatever the others needed. A job's first run is the only way to tell a deadly job from a sound one, so that each crash lets about nine sound jobs of ten complete: the number of endpoints that may be away at a time decides how many are served.

Change: a confinement has as many endpoints as the other jobs' use, averaged over 3 s, leaves at 80 % utilization of the rest, and no more than the queue needs to be served whole; at least its share of the load, rounded down.

TestConfinementFollowsSpareCapacity failed before (2 of 8 in both cases).

--- a/pool/scheduler/agent.go
+++ b/pool/scheduler/agent.go
@@ -247,6 +247,7 @@
 		a.overrun = c.estimateOverrun(a)
 	}
 	c.fleet.learn(c.agentList)
+	c.observeUse()
 }
 
 // endUnreachableRuns ends the runs whose lostAt has passed as lost.
--- a/pool/scheduler/confinement.go
+++ b/pool/scheduler/confinement.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"slices"
 	"time"
 )
@@ -75,7 +74,7 @@
 	}
 	share := deadly / max(all, 1)
 	for _, q := range c.queueList {
-		c.setDeadly(q, share <= maxDeadlyShare && q.crashesCostMoreThanWork(capacity))
+		c.setDeadly(q, share <= maxDeadlyShare && q.crashesCostMoreThanWork(capacity), q.offeredLoad.rate(c.now)/max(all, 1))
 	}
 	if share > maxDeadlyShare {
 		return 0
@@ -95,11 +94,12 @@
 	return q.blame >= least && loss >= q.meanWork
 }
 
-func (c *Core) setDeadly(q *queue, deadly bool) {
+func (c *Core) setDeadly(q *queue, deadly bool, shareOfLoad float64) {
 	if deadly == q.deadly {
 		return
 	}
 	q.deadly = deadly
+	c.confinementOf(q.service).queueConfined(deadly, shareOfLoad)
 	what := "queue confined"
 	if !deadly {
 		what = "queue released"
@@ -107,15 +107,6 @@
 	c.emit(Note{What: what, Subject: q.name, Detail: fmt.Sprintf("%.2f crashes", q.blame)})
 }
 
-// isolationShare is the largest share of the endpoints to which deadly queues are
-// confined, unless their share of the load is larger. confinedLoadFactor is the number
-// of times that their share of the load may take of the endpoints, as most of these
-// are down.
-const (
-	isolationShare     = 0.25
-	confinedLoadFactor = 2
-)
-
 // meanCapacity returns the mean capacity of the endpoints in thousandths of a core.
 func (c *Core) meanCapacity() float64 {
 	sum, n := 0.0, 0.0
@@ -128,16 +119,6 @@
 	return sum / max(n, 1)
 }
 
-// confinedCount returns the number of endpoints, of n, to which deadly queues are
-// confined, given their share of the load and the usual number.
-func confinedCount(n, usual int, deadlyShare float64) int {
-	if deadlyShare == 0 {
-		return 0
-	}
-	loaded := deadlyShare * float64(n)
-	return max(1, min(int(math.Ceil(confinedLoadFactor*loaded)), max(usual, int(loaded))))
-}
-
 // isConfined reports whether a job may run only on a part of the endpoints.
 func (j *job) isConfined() bool { return j.queue.deadly || j.isSuspect() }
 
--- a/pool/scheduler/core.go
+++ b/pool/scheduler/core.go
@@ -98,6 +98,8 @@
 	crashesForgotten time.Duration
 	// isolations holds, by service, what is isolated in this step.
 	isolations map[string]*isolation
+	// confinements holds, by service, the state of isolations that lasts.
+	confinements kernel.OrderedMap[string, *confinement]
 
 	completed      map[string]time.Duration
 	completedOrder []string
--- a/pool/scheduler/crash_test.go
+++ b/pool/scheduler/crash_test.go
@@ -222,8 +222,11 @@
 		}
 	}
 	sim.crashUnderChecks(4)
-	for i := range used[check.queue] {
-		sim.crash(i)
+	confined := sim.core.isolations["s"].confined
+	for i, a := range sim.agents {
+		if confined[sim.core.agents[a.name]] {
+			sim.crash(i)
+		}
 	}
 	sim.advance()
 	j := sim.submit(check)
@@ -356,3 +359,22 @@
 	is.True(again.answer.Reason != verdict.ReasonTaskFailed)
 	is.Equal(again.answer.Verdict, verdict.MayHaveRun)
 }
+
+// TestConfinementFollowsSpareCapacity guards against confined jobs that are refused while
+// endpoints are idle, and against other jobs that lack the endpoints that crash under
+// them: the more the others need, the fewer endpoints a deadly queue gets.
+func TestConfinementFollowsSpareCapacity(t *testing.T) {
+	confined := func(labels float64) int {
+		sim := newSimulation(t, 8, 64000)
+		rates := map[jobKind]float64{check: 20, label: labels}
+		sim.load(4*time.Second, rates)
+		for range 8 {
+			sim.crashUnderChecks(1)
+			sim.load(200*time.Millisecond, rates)
+		}
+		return sim.core.confinementOf("s").count
+	}
+	if idle, busy := confined(40), confined(200); idle < 4 || busy > 1 {
+		t.Errorf("%d of 8 endpoints are confined while a quarter is used, %d while most are", idle, busy)
+	}
+}
--- a/pool/scheduler/isolation.go
+++ b/pool/scheduler/isolation.go
@@ -13,6 +13,9 @@
 // is the same for all entries, and an endpoint that is down stays in it: otherwise each
 // crash would cost another endpoint.
 
+// isolationShare is the least share of the endpoints on which suspects may run.
+const isolationShare = 0.25
+
 // isolation is the state of the isolation of one service's jobs during a step.
 type isolation struct {
 	// confined holds the agents for the jobs of deadly queues, suspects those for
@@ -63,9 +66,8 @@
 		}
 	}
 	slices.SortFunc(agents, func(a, b *agent) int { return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.name, b.name)) })
-	share := int(math.Ceil(isolationShare * float64(len(agents))))
-	confined := confinedCount(len(agents), share, deadlyShare)
-	isolated := max(confined, share)
+	confined := c.resizeConfinement(service, agents)
+	isolated := max(confined, int(math.Ceil(isolationShare*float64(len(agents)))))
 	if ready := slices.IndexFunc(agents, (*agent).isReady); ready >= isolated {
 		// A suspect that is sound must not wait for seconds.
 		iso.suspects[agents[ready]] = true
