Confined jobs that would be late are refused

Cause: a confined job waited as long as an answer within three objectives was possible. Each run there risks the endpoint, so that late answers, worth a fifth, took the place of answers in time.

Change: a job of a deadly queue that has not started is refused as soon as it can't be in time, with the time after which endpoints are back.

TestLateConfinedJobsAreRefused failed before (answers at 231 and 301 ms).

--- a/pool/scheduler/confinement.go
+++ b/pool/scheduler/confinement.go
@@ -188,6 +188,11 @@
 		wait = crashOutage
 	}
 	latest := min(j.received+usefulObjectiveFactor*j.objective(), j.Deadline) - j.expectedRunTime()
+	if j.queue.deadly && j.runs == 0 {
+		// A late answer is not worth the risk of a crash: the endpoint is kept for a job
+		// that can be in time.
+		latest = min(latest, j.latestStart())
+	}
 	if c.now+wait <= latest {
 		return
 	}
--- a/pool/scheduler/crash_test.go
+++ b/pool/scheduler/crash_test.go
@@ -378,3 +378,30 @@
 		t.Errorf("%d of 8 endpoints are confined while a quarter is used, %d while most are", idle, busy)
 	}
 }
+
+// TestLateConfinedJobsAreRefused guards against confined endpoints that are spent on late
+// answers: each run there may crash the endpoint, and jobs that can be in time wait.
+func TestLateConfinedJobsAreRefused(t *testing.T) {
+	sim := newSimulation(t, 2, 64000)
+	sim.load(2*time.Second, map[jobKind]float64{check: 20, label: 40})
+	sim.crashUnderChecks(8)
+	if !sim.core.queues[check.queue].deadly {
+		t.Fatal("the queue is not confined")
+	}
+	objectives := map[*testJob]time.Duration{}
+	for range 6 {
+		j := sim.submit(check)
+		objectives[j] = time.Duration(j.Stretch*float64(j.Estimate)) + j.Slack
+	}
+	sim.advanceFor(time.Second)
+	for j, objective := range objectives {
+		switch {
+		case j.answer == nil:
+			t.Errorf("job %s has no answer", j.ID)
+		case j.answer.Failed && j.answer.Verdict != verdict.NotRun:
+			t.Errorf("job %s was started in vain: %+v", j.ID, j.answer)
+		case j.answered-j.sent > objective+objective/10: // run times are estimated
+			t.Errorf("job %s was answered %v after it was submitted, objective %v", j.ID, j.answered-j.sent, objective)
+		}
+	}
+}
