--- a/pool/node/agent.go
+++ b/pool/node/agent.go
@@ -238,12 +238,17 @@
 const maxLoggedRuns = 64
 
 // logCrash logs a crash of the endpoint with the runs that were on it, the youngest
-// first, each as job, task, run, queue and age in milliseconds.
+// first, each as job, task, run, queue and age in milliseconds, and unconfirmed if the
+// endpoint was never seen to have it.
 func (a *Agent) logCrash(crash *message.EndpointCrash) {
 	var runs []string
 	for _, r := range slices.Backward(crash.Runs) {
 		if len(runs) < maxLoggedRuns {
-			runs = append(runs, fmt.Sprintf("%s.%d/%d %s %d", r.Run.Job, r.Run.Task, r.Run.Number, r.Queue, r.AgeMillis))
+			state := ""
+			if r.Unconfirmed {
+				state = " unconfirmed"
+			}
+			runs = append(runs, fmt.Sprintf("%s.%d/%d %s %d%s", r.Run.Job, r.Run.Task, r.Run.Number, r.Queue, r.AgeMillis, state))
 		}
 	}
 	a.opts.Log.Failure().Str("event", "endpoint crashed").Str("endpoint", crash.Endpoint).
--- a/pool/scheduler/confinedsize.go
+++ b/pool/scheduler/confinedsize.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"math"
 	"time"
 )
@@ -96,8 +97,13 @@
 		wanted < s.count && size >= float64(s.count)-countHysteresis {
 		size = float64(s.count)
 	}
-	s.count = min(max(1, int(size)), len(agents))
-	return s.count
+	count := min(max(1, int(size)), len(agents))
+	if count != s.count {
+		s.count = count
+		c.emit(Note{What: "confinement resized", Subject: service, Detail: fmt.Sprintf(
+			"%d of %d endpoints, %d away, others use %.0f cores", count, len(agents), away, s.othersUse/1000)})
+	}
+	return count
 }
 
 // confinedLoad returns the endpoints that the load of a service's deadly queues takes,
