The budget of starts counts crashes that other entries caused

Cause: the starts of a task after three crashes were counted by the entry that ordered them, and not passed on; the entry at which the caller submits again, or a successor, gave it two more: up to four in all, where the users allow two (rule BUDGET). Each such start of a deadly task ends in a crash, which is passed on.

Change: crashes beyond three count as starts.

TestBudgetOutlivesTheEntryThatSpentIt failed before (8 starts).

--- a/pool/scheduler/crash.go
+++ b/pool/scheduler/crash.go
@@ -220,7 +220,11 @@
 // endpoints have crashed under it.
 func (c *Core) withinBudget(j *job, task int) bool {
 	s := j.suspect
-	if s == nil || s.blame < suspectBlame || s.crashes[task] < budgetCrashes || s.starts[task] < budgetStarts {
+	if s == nil || s.blame < suspectBlame {
+		return true
+	}
+	// Each crash after budgetCrashes had a start, by this entry or by another one.
+	if max(s.starts[task], s.crashes[task]-budgetCrashes) < budgetStarts {
 		return true
 	}
 	c.giveUp(s, "too many endpoints crashed under a task")
--- a/pool/scheduler/crash_test.go
+++ b/pool/scheduler/crash_test.go
@@ -405,3 +405,26 @@
 		}
 	}
 }
+
+// TestBudgetOutlivesTheEntryThatSpentIt guards against a task that is started three times
+// more after three crashes under it (the users' rule BUDGET), because the starts that
+// another entry has ordered since then are not known: the crashes are.
+func TestBudgetOutlivesTheEntryThatSpentIt(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 2, 64000)
+	var crashes []message.EndpointCrash
+	for i := range budgetCrashes + budgetStarts {
+		r := under("check-1", 0, check.queue, 10*time.Millisecond)
+		r.Run.Number, r.Unconfirmed = int64(i+1), true
+		crash := endpointCrash(fmt.Sprint("endpoint-", i), r, under(fmt.Sprint("other-", i), 0, check.queue, 9*time.Millisecond))
+		crash.AgoMillis = int64(1000 - 100*i)
+		crashes = append(crashes, crash)
+	}
+	sim.apply(CrashesShared{Notice: &message.CrashNotice{Crashes: crashes}})
+	j := sim.submit(check)
+	is.Equal(j.ID, "check-1")
+	sim.advance()
+	is.Equal(sim.runs, 0)
+	is.True(j.answer != nil)
+	is.Equal(j.answer.Verdict, verdict.MayHaveRun) // no confirmed run: not to be called failed
+}
