--- a/pool/scheduler/crash.go
+++ b/pool/scheduler/crash.go
@@ -58,8 +58,8 @@
 	known, prior, blame float64
 	// acquitted is set when the job has completed.
 	acquitted bool
-	// weight is the part of the blame that counts against the queue, counted what has
-	// been counted.
+	// weight is the factor with which blame counts against the queue, counted the amount
+	// that the queue's blame holds for this crash.
 	weight, counted float64
 }
 
