Jobs are given up when the last other job to blame completes

Callers of sound jobs lost runs to a third endpoint that crashed under a task under which two had crashed before (BUDGET allows three, and each costs its neighbours their work): the blame for the two crashes was shared with a neighbour until that one completed.

Acquittals now end with the same check as crashes. The new test failed before (not given up, blame 1.00).

--- a/pool/scheduler/crash.go
+++ b/pool/scheduler/crash.go
@@ -132,9 +132,7 @@
 	}
 	c.counters.Crashes++
 	c.assessWithSimultaneous(k)
-	for _, cj := range k.jobs {
-		c.judge(cj.suspect)
-	}
+	c.judge(k)
 	if !known {
 		c.unlearned = append(c.unlearned, k)
 	}
@@ -189,12 +187,13 @@
 	return cj
 }
 
-// judge gives a job up when it is known to crash its endpoints.
-func (c *Core) judge(s *suspect) {
-	if s.givenUp || !s.mayFail() || s.blame < certainBlame {
-		return
+// judge gives up the jobs under a crash that are known to crash their endpoints.
+func (c *Core) judge(k *crashRecord) {
+	for _, cj := range k.jobs {
+		if s := cj.suspect; !cj.acquitted && !s.givenUp && s.mayFail() && s.blame >= certainBlame {
+			c.giveUp(s, "endpoints crash under it")
+		}
 	}
-	c.giveUp(s, "endpoints crash under it")
 }
 
 func (c *Core) giveUp(s *suspect, cause string) {
@@ -246,6 +245,7 @@
 			}
 		}
 		c.assess(k)
+		c.judge(k)
 	}
 }
 
--- a/pool/scheduler/crash_test.go
+++ b/pool/scheduler/crash_test.go
@@ -428,3 +428,28 @@
 	is.True(j.answer != nil)
 	is.Equal(j.answer.Verdict, verdict.MayHaveRun) // no confirmed run: not to be called failed
 }
+
+// TestJobIsGivenUpWhenItsNeighbourCompletes guards against a deadly task that crashes a
+// third endpoint although nothing else is left to blame: the neighbour that shared the
+// blame for two crashes has completed.
+func TestJobIsGivenUpWhenItsNeighbourCompletes(t *testing.T) {
+	sim := newSimulation(t, 4, 64000)
+	sim.load(2*time.Second, map[jobKind]float64{check: 34, label: 100})
+	for i := range 2 {
+		both := []message.CrashedRun{under("sound", 0, check.queue, 12*time.Millisecond), under("deadly", 0, check.queue, 12*time.Millisecond)}
+		for n := range both {
+			both[n].Run.Number = int64(i + 1)
+		}
+		sim.core.recordCrashes([]message.EndpointCrash{endpointCrash(fmt.Sprint("endpoint-", i), both...)}, true)
+		sim.now += 100 * time.Millisecond
+		sim.apply(Tick{})
+	}
+	deadly := sim.core.suspects.Get("deadly")
+	if deadly.givenUp {
+		t.Fatalf("given up with blame %.2f", deadly.blame)
+	}
+	sim.apply(JobsCompletedElsewhere{IDs: []string{"sound"}})
+	if !deadly.givenUp {
+		t.Errorf("not given up, blame %.2f", deadly.blame)
+	}
+}
