Blame for a crash applies to the tasks that were under it

A neighbour that had one task on the first endpoint and another task on the second kept its blame for the first crash when the second was assessed, as if the same task had been under both.

Blame is now known by task; other tasks of a job inherit a quarter of it, as all tasks of a job may crash their endpoints. When a job is given up, the blame for its earlier crashes is divided again, so that its neighbours are not isolated for nothing. The new test failed before (0.90, not given up; the neighbour 0.10).

--- a/pool/scheduler/blame.go
+++ b/pool/scheduler/blame.go
@@ -158,9 +158,9 @@
 		counted := cj.weight * excess(blame) / k.size
 		cj.queue.addBlame(counted - cj.counted)
 		cj.blame, cj.counted = blame, counted
-		if s := cj.suspect; s.records[len(s.records)-1] == k {
-			s.blame = blame
-		}
+	}
+	for _, cj := range k.jobs {
+		cj.suspect.updateBlame()
 	}
 }
 
@@ -168,6 +168,9 @@
 func (cj *crashedJob) odds() float64 {
 	const highest = 0.999
 	prior := min(cj.prior, highest)
+	if cj.convicted {
+		prior = highest
+	}
 	return prior / (1 - prior) * cj.queue.crashAges.density(cj.age)
 }
 
--- a/pool/scheduler/crash.go
+++ b/pool/scheduler/crash.go
@@ -15,6 +15,9 @@
 	crashMemory = time.Minute
 	// suspectBlame is the blame from which a job's next run is isolated.
 	suspectBlame = 0.1
+	// otherTaskShare is the part of a job's blame that applies to its other tasks: where
+	// one task crashes its endpoint, all may do so.
+	otherTaskShare = 0.25
 	// strongBlame is the blame from which a job is more likely deadly than not.
 	strongBlame = 0.5
 	// certainBlame and crashesToGiveUp are the blame of a job and the number of
@@ -52,12 +55,13 @@
 	runs kernel.OrderedMap[int, crashedRun]
 	// age is the time from the start of its youngest run to the crash.
 	age time.Duration
-	// known is the job's blame for earlier crashes. prior is the probability that it is
-	// deadly, as assessed before the crash; blame the probability that it has caused this
-	// crash.
+	// known is the blame for earlier crashes that applies to the tasks under this one.
+	// prior is the probability that the job is deadly, as assessed before the crash; blame
+	// the probability that it has caused this crash.
 	known, prior, blame float64
-	// acquitted is set when the job has completed.
-	acquitted bool
+	// acquitted is set when the job has completed, convicted when it has been given up
+	// because endpoints crash under it.
+	acquitted, convicted bool
 	// weight is the factor with which blame counts against the queue, counted the amount
 	// that the queue's blame holds for this crash.
 	weight, counted float64
@@ -85,6 +89,38 @@
 	givenUp bool
 }
 
+// blameUnder returns the blame that applies to the job's tasks under a crash: that of the
+// same tasks, or a part of that of others.
+func (s *suspect) blameUnder(crash *message.EndpointCrash) float64 {
+	blame := otherTaskShare * s.blame
+	for _, r := range crash.Runs {
+		if r.Run.Job == s.job {
+			blame = max(blame, s.taskBlame(r.Run.Task))
+		}
+	}
+	return blame
+}
+
+// taskBlame returns the blame of the job for the last crash under one of its tasks.
+func (s *suspect) taskBlame(task int) float64 {
+	for _, k := range slices.Backward(s.records) {
+		for _, cj := range k.jobs {
+			if cj.suspect == s && cj.runs.Has(task) {
+				return cj.blame
+			}
+		}
+	}
+	return 0
+}
+
+// updateBlame sets the blame of the job to that of the task that is blamed most.
+func (s *suspect) updateBlame() {
+	s.blame = 0
+	for task := range s.crashes {
+		s.blame = max(s.blame, s.taskBlame(task))
+	}
+}
+
 // mostCrashes returns the largest number of crashes under one task.
 func (s *suspect) mostCrashes() int { return most(s.crashes) }
 
@@ -125,7 +161,7 @@
 	}
 	changed := false
 	for _, r := range crash.Runs {
-		changed = c.addCrashedRun(k, r, fromAgent) || changed
+		changed = c.addCrashedRun(k, crash, r, fromAgent) || changed
 	}
 	if !changed {
 		return false
@@ -140,11 +176,11 @@
 }
 
 // addCrashedRun adds a run to a crash and reports whether it was not known.
-func (c *Core) addCrashedRun(k *crashRecord, r message.CrashedRun, fromAgent bool) bool {
+func (c *Core) addCrashedRun(k *crashRecord, crash *message.EndpointCrash, r message.CrashedRun, fromAgent bool) bool {
 	age := max(time.Duration(r.AgeMillis)*time.Millisecond, 0)
 	at := slices.IndexFunc(k.jobs, func(cj *crashedJob) bool { return cj.suspect.job == r.Run.Job })
 	if at < 0 {
-		k.jobs = append(k.jobs, c.newCrashedJob(k, r, fromAgent))
+		k.jobs = append(k.jobs, c.newCrashedJob(k, crash, r, fromAgent))
 		at = len(k.jobs) - 1
 		k.jobs[at].age = age
 	}
@@ -161,7 +197,7 @@
 	return true
 }
 
-func (c *Core) newCrashedJob(k *crashRecord, r message.CrashedRun, fromAgent bool) *crashedJob {
+func (c *Core) newCrashedJob(k *crashRecord, crash *message.EndpointCrash, r message.CrashedRun, fromAgent bool) *crashedJob {
 	j := c.jobs[r.Run.Job]
 	cj := &crashedJob{queue: c.queueOf(r.Queue)}
 	switch {
@@ -176,7 +212,7 @@
 		s = &suspect{job: r.Run.Job, crashes: map[int]int{}, confirmed: map[int]int{}, starts: map[int]int{}}
 		c.suspects.Set(s.job, s)
 	}
-	cj.known = s.blame
+	cj.known = s.blameUnder(crash)
 	cj.prior = max(cj.known, cj.queue.risk())
 	if j != nil {
 		j.suspect = s
@@ -192,7 +228,21 @@
 	for _, cj := range k.jobs {
 		if s := cj.suspect; !cj.acquitted && !s.givenUp && s.mayFail() && s.blame >= certainBlame {
 			c.giveUp(s, "endpoints crash under it")
+			c.clearNeighbours(s)
+		}
+	}
+}
+
+// clearNeighbours divides the blame for all crashes under a job again that is known to
+// crash its endpoints.
+func (c *Core) clearNeighbours(s *suspect) {
+	for _, k := range s.records {
+		for _, cj := range k.jobs {
+			if cj.suspect == s {
+				cj.convicted = true
+			}
 		}
+		c.assess(k)
 	}
 }
 
--- a/pool/scheduler/crash_test.go
+++ b/pool/scheduler/crash_test.go
@@ -429,6 +429,28 @@
 	is.Equal(j.answer.Verdict, verdict.MayHaveRun) // no confirmed run: not to be called failed
 }
 
+// TestNeighbourUnderTwoCrashesIsNotBlamedForAnotherTask guards against a deadly task that
+// crashes a third endpoint because a neighbour shares the blame for two crashes: different
+// tasks of the neighbour were under them, the same task of the deadly job.
+func TestNeighbourUnderTwoCrashesIsNotBlamedForAnotherTask(t *testing.T) {
+	sim := newSimulation(t, 4, 64000)
+	sim.load(2*time.Second, map[jobKind]float64{check: 34, label: 100})
+	restarted := under("deadly", 0, check.queue, 12*time.Millisecond)
+	restarted.Run.Number = 2
+	for i, crash := range []message.EndpointCrash{
+		endpointCrash("one", under("sound", 0, check.queue, 31*time.Millisecond), under("deadly", 0, check.queue, 14*time.Millisecond)),
+		endpointCrash("two", under("sound", 1, check.queue, 46*time.Millisecond), restarted),
+	} {
+		sim.now += time.Duration(i) * 15 * time.Millisecond
+		sim.apply(Tick{})
+		sim.core.recordCrashes([]message.EndpointCrash{crash}, true)
+	}
+	deadly, sound := sim.core.suspects.Get("deadly"), sim.core.suspects.Get("sound")
+	if !deadly.givenUp || sound.blame >= suspectBlame {
+		t.Errorf("given up %v with blame %.2f, its neighbour is blamed with %.2f", deadly.givenUp, deadly.blame, sound.blame)
+	}
+}
+
 // TestJobIsGivenUpWhenItsNeighbourCompletes guards against a deadly task that crashes a
 // third endpoint although nothing else is left to blame: the neighbour that shared the
 // blame for two crashes has completed.
