Entries agree on the size of a confinement

The logs show three entries with three confinements at the same time (2, 3 and 5 of 11 endpoints; after its restart the killed one took 10 of 11). Three causes:

- An entry counted as use of other jobs what ran outside its own confinement, so that the more it confined, the less use it saw.
Agents now report what confined jobs of all entries use, and whether there are any; entries take endpoints first that are confined already.
- Jobs that are refused for lack of capacity use nothing, which let the confinement grow.
- An entry that had just started measured no use yet.
It keeps to what others have confined until that ends.

A confined job is refused when it would be late on the endpoints open to it, not on an average one.

The new tests failed before: 0 of 3 slow endpoints confined, growth from 4 to 5 of 8, a restarted entry with another set, others' confined jobs counted. TestDeadlyQueueIsConfined has more load of the other class: the bound of a quarter of the endpoints holds where others need the rest, and its endpoints now crash under confined runs, as others do not belong to the confinement.

--- a/message/run.go
+++ b/message/run.go
@@ -23,6 +23,9 @@
 	// Isolated is set if the job is suspected of crashing endpoints: the agent does not
 	// start it beside a run of another such job.
 	Isolated bool `cbor:"7,keyasint,omitempty"`
+	// Confined is set if the job's queue is confined to a part of the endpoints because
+	// its jobs crash them.
+	Confined bool `cbor:"8,keyasint,omitempty"`
 }
 
 // TaskRun is a task's index within its job and the number of its run.
@@ -188,6 +191,11 @@
 	// new ones, and in the first report of a session all recent ones. One that is listed
 	// again has more runs.
 	Crashes []EndpointCrash `cbor:"10,keyasint,omitempty"`
+	// Confined is set while the endpoint is used by confined jobs, of any entry, and while
+	// it is away after a crash that happened meanwhile.
+	Confined bool `cbor:"11,keyasint,omitempty"`
+	// ConfinedMilliCPU is what the runs of confined jobs use, in thousandths of a core.
+	ConfinedMilliCPU int64 `cbor:"12,keyasint,omitempty"`
 }
 
 // CompletedJobs notifies other entries of completed pooled jobs, so that a late
--- a/pool/executor/core.go
+++ b/pool/executor/core.go
@@ -102,6 +102,8 @@
 	ended      map[message.RunRef]time.Duration
 	endedOrder []message.RunRef
 	used       message.Resources
+	// confinement is the part of used that confined jobs have.
+	confinement confinement
 	// crashes holds the recent crashes of the endpoint, by rising version.
 	crashes      []crash
 	crashVersion uint64
@@ -173,6 +175,7 @@
 	c.repeatStops()
 	c.pollEndpoint()
 	c.updateReadiness()
+	c.updateConfinement()
 	c.reinstate()
 	c.offerCapacity()
 	c.sendReports()
--- a/pool/executor/crash_test.go
+++ b/pool/executor/crash_test.go
@@ -228,3 +228,40 @@
 	is.Equal(len(actionsOf[StartCall](r)), 0)
 	is.Equal(r.ends()[0].Cause, message.CauseIsolated)
 }
+
+// TestConfinedUseIsReportedToAllEntries guards against entries that disagree on which
+// endpoints are confined: an agent tells all of them while confined jobs use its endpoint,
+// and while it is away after a crash under one.
+func TestConfinedUseIsReportedToAllEntries(t *testing.T) {
+	is := is.New(t)
+	r := readyHarness(t)
+	r.step(SessionOpened{Session: 2, Entry: "e2", Incarnation: 2})
+	lastReport := func() *message.RunReport {
+		for _, report := range actionsOf[SendReport](r) {
+			if report.Session == 2 {
+				return report.Report
+			}
+		}
+		return nil
+	}
+	r.step(OrdersReceived{Session: 1, Orders: &message.RunOrders{Seq: 10, ReportTimestamp: r.reportTimestamp[1], Starts: []message.RunStart{{
+		Job: "a", Need: message.Resources{MilliCPU: 1000}, Runs: []message.TaskRun{{Number: 1}}, Confined: true,
+	}}}})
+	start := r.onlyStart()
+	is.True(lastReport().Confined)
+	is.Equal(lastReport().ConfinedMilliCPU, int64(1000))
+	r.answerStart(start, time.Millisecond)
+	r.now += 10 * time.Millisecond
+	r.refuse()
+	is.True(lastReport().Confined) // also while the endpoint is away
+	is.Equal(lastReport().ConfinedMilliCPU, int64(0))
+	r.now += 200 * time.Millisecond
+	r.heartbeat(2)
+	is.True(lastReport().Confined)
+	r.announce(2, 1)
+	r.answerPolls(PollAccepted)
+	r.now += confinedHold + time.Millisecond
+	r.heartbeat(2)
+	r.step(Tick{})
+	is.True(!r.core.confinement.active)
+}
--- a/pool/executor/entry.go
+++ b/pool/executor/entry.go
@@ -40,11 +40,12 @@
 	lastSent        time.Duration
 	// synced is set once the full state was reported on this session.
 	synced bool
-	// sentVersion, free and slowdown are the endpoint's version, the free capacity
-	// and the slowdown that were last reported to the entry.
+	// sentVersion, free, slowdown and confined are the endpoint's version, the free
+	// capacity, the slowdown and the confinement that were last reported to the entry.
 	sentVersion uint64
 	free        message.Resources
 	slowdown    float64
+	confined    bool
 	// ends holds the ends that the entry has not acknowledged; sent is the number of
 	// them that have been reported on this session.
 	ends []pendingEnd
@@ -237,7 +238,8 @@
 		sinceLastSent := c.now - en.lastSent
 		useful := en.demand.Count > 0 && en.demand.Need.Fits(free)
 		switch {
-		case !en.synced, en.sent < len(en.ends), en.sentCrash < c.crashVersion, en.sentVersion != c.endpoint.version:
+		case !en.synced, en.sent < len(en.ends), en.sentCrash < c.crashVersion, en.sentVersion != c.endpoint.version,
+			en.confined != c.confinement.active:
 		case free != en.free && (useful || sinceLastSent >= minReportInterval):
 		case slowdownChanged(slowdown, en.slowdown) && sinceLastSent >= minReportInterval:
 		case sinceLastSent >= Heartbeat:
@@ -250,7 +252,10 @@
 
 func (c *Core) sendReport(en *entry, free message.Resources, slowdown float64) {
 	en.reportTimestamp = max(en.reportTimestamp+1, int64(c.now/time.Microsecond))
-	r := &message.RunReport{Timestamp: en.reportTimestamp, OrdersSeq: en.orders, Free: free, Slowdown: slowdown}
+	r := &message.RunReport{
+		Timestamp: en.reportTimestamp, OrdersSeq: en.orders, Free: free, Slowdown: slowdown,
+		Confined: c.confinement.active, ConfinedMilliCPU: c.confinement.milliCPU,
+	}
 	for i := en.sent; i < len(en.ends); i++ {
 		en.ends[i].reportTimestamp = en.reportTimestamp
 		r.Ends = append(r.Ends, en.ends[i].end)
@@ -272,6 +277,6 @@
 		r.Endpoint = c.describe(en)
 		en.sentVersion = c.endpoint.version
 	}
-	en.free, en.slowdown, en.lastSent = free, slowdown, c.now
+	en.free, en.slowdown, en.confined, en.lastSent = free, slowdown, c.confinement.active, c.now
 	c.emit(SendReport{Session: en.session, Report: r})
 }
--- a/pool/executor/run.go
+++ b/pool/executor/run.go
@@ -33,6 +33,8 @@
 	queue   string
 	// isolated is set if the job is suspected of crashing endpoints.
 	isolated bool
+	// confined is set if the job's queue is confined to a part of the endpoints.
+	confined bool
 	state    runState
 	// startSent is the time at which the last start was sent.
 	startSent time.Duration
@@ -87,9 +89,12 @@
 			continue
 		}
 		r := &run{ref: ref, key: en.key, entry: en, need: order.Need, payload: order.Payload, queue: order.Queue, isolated: order.Isolated,
-			estimate: time.Duration(order.EstimateMillis) * time.Millisecond}
+			confined: order.Confined, estimate: time.Duration(order.EstimateMillis) * time.Millisecond}
 		c.runs.Set(ref, r)
 		c.used = c.used.Plus(r.need)
+		if r.confined {
+			c.confinement.milliCPU += r.need.MilliCPU
+		}
 		en.deductOffer(r.need)
 		c.counters.Accepted++
 		c.sendStart(r)
@@ -300,6 +305,9 @@
 func (c *Core) removeRun(r *run) {
 	c.runs.Delete(r.ref)
 	c.used = c.used.Minus(r.need)
+	if r.confined {
+		c.confinement.milliCPU -= r.need.MilliCPU
+	}
 	c.rememberEnded(r.ref)
 }
 
--- a/pool/scheduler/agent.go
+++ b/pool/scheduler/agent.go
@@ -75,6 +75,10 @@
 	// expected run time; speedKnownAt is the time of the last news on it.
 	logSlowness  float64
 	speedKnownAt time.Duration
+	// confined is set if confined jobs, of any entry, use the endpoint; confinedMilliCPU
+	// is what they use. Both are from the last report.
+	confined         bool
+	confinedMilliCPU int64
 	// isolatedAt is the last time at which the agent refused a suspect beside another
 	// entry's.
 	isolatedAt time.Duration
@@ -88,8 +92,9 @@
 }
 
 type unackedOrder struct {
-	seq  uint64
-	need message.Resources
+	seq      uint64
+	need     message.Resources
+	confined bool
 }
 
 // run is a run whose end is not confirmed.
@@ -128,6 +133,17 @@
 	return free
 }
 
+// usedByOthers returns what jobs that are not confined use, in thousandths of a core.
+func (a *agent) usedByOthers() int64 {
+	used := a.endpoint.Capacity.MilliCPU - a.free.MilliCPU - a.confinedMilliCPU
+	for _, u := range a.unacked {
+		if !u.confined {
+			used += u.need.MilliCPU
+		}
+	}
+	return max(used, 0)
+}
+
 func (c *Core) connect(ev AgentConnected) {
 	a := c.agents[ev.Agent]
 	if a == nil {
@@ -196,7 +212,7 @@
 		a.overrun = c.estimateOverrun(a)
 	}
 	c.fleet.learn(c.agentList)
-	c.observeUse()
+	c.observeOthersWork()
 }
 
 // endUnreachableRuns ends the runs whose lostAt has passed as lost.
@@ -226,6 +242,7 @@
 	a.lastHeard = c.now
 	a.reportTimestamp = report.Timestamp
 	a.free = report.Free
+	a.confined, a.confinedMilliCPU = report.Confined, report.ConfinedMilliCPU
 	a.slowdown, a.slowdownAt = report.Slowdown, c.now
 	if report.Slowdown > 0 {
 		a.limitSlowness(report.Slowdown, maxSlowdownDeviation)
@@ -336,7 +353,7 @@
 		for _, id := range a.startOrder {
 			start := a.starts[id]
 			orders.Starts = append(orders.Starts, *start)
-			a.unacked = append(a.unacked, unackedOrder{seq: a.seq, need: start.Need.Times(int64(len(start.Runs)))})
+			a.unacked = append(a.unacked, unackedOrder{seq: a.seq, need: start.Need.Times(int64(len(start.Runs))), confined: start.Confined})
 		}
 		if demand := c.demandFor(a); a.demand != demand {
 			a.demand, orders.Demand = demand, &demand
--- a/pool/scheduler/confinement.go
+++ b/pool/scheduler/confinement.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 )
@@ -165,6 +166,21 @@
 	return duration(work / max(rate, minStartRateMilliCPU))
 }
 
+// confinedDelay returns how much longer a task of a confined job runs on the fastest
+// endpoint that is open to it than on an average one.
+func (c *Core) confinedDelay(j *job) time.Duration {
+	fastest := math.Inf(1)
+	for _, a := range c.agentList {
+		if c.eligible(a, j, false) {
+			fastest = min(fastest, a.slowness())
+		}
+	}
+	if math.IsInf(fastest, 1) {
+		return 0
+	}
+	return time.Duration(max(fastest-1, 0) * float64(j.expectedRunTime()))
+}
+
 // refuseUnplaceable refuses the confined jobs that were submitted in this step and to
 // which no endpoint is open: those are away for seconds.
 func (c *Core) refuseUnplaceable() {
@@ -191,7 +207,7 @@
 	if j.queue.deadly && j.runs == 0 {
 		// A late answer is not worth the risk of a crash: the endpoint is kept for a job
 		// that can be in time.
-		latest = min(latest, j.latestStart())
+		latest = min(latest, j.latestStart()-c.confinedDelay(j))
 	}
 	if c.now+wait <= latest {
 		return
--- /dev/null
+++ b/pool/scheduler/confinement_test.go
@@ -0,0 +1,120 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"marjoramlug.example/marjoramlug/message"
+
+	"github.com/matryer/is"
+)
+
+// confine makes the queue of checks deadly and keeps the load for a second.
+func (sim *simulation) confine(t *testing.T, rates map[jobKind]float64) *confinement {
+	t.Helper()
+	sim.load(4*time.Second, rates)
+	for range 8 {
+		sim.crashUnderChecks(1)
+		sim.load(100*time.Millisecond, rates)
+	}
+	if !sim.core.queues[check.queue].deadly {
+		t.Fatal("the queue is not confined")
+	}
+	return sim.core.confinementOf("s")
+}
+
+// TestConfinedJobsOfOtherEntriesAreNotOtherWork guards against entries that disagree on
+// the size of a confinement: an entry that counts the confined jobs of other entries as
+// work of other jobs confines fewer endpoints than they, and its sound jobs run on those
+// that crash under theirs.
+func TestConfinedJobsOfOtherEntriesAreNotOtherWork(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 8, 64000)
+	s := sim.confine(t, map[jobKind]float64{check: 20, label: 40})
+	before, work := s.count, s.othersWork
+	for _, a := range sim.agents { // as of a session that is not simulated
+		a.used += 20000
+		a.confinedElsewhere = 20000
+	}
+	for i := range sim.agents {
+		sim.report(i, &message.RunReport{})
+	}
+	sim.advanceFor(time.Second)
+	is.True(s.othersWork <= work)
+	is.True(s.count >= before)
+}
+
+// TestConfinementDoesNotGrowWithTheJobsThatItRefuses guards against a confinement that
+// takes one endpoint after the other: the fewer are left, the more of the other jobs are
+// refused, and the less the rest have to do.
+func TestConfinementDoesNotGrowWithTheJobsThatItRefuses(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 8, 64000)
+	s := sim.confine(t, map[jobKind]float64{check: 40, label: 100})
+	before := s.count
+	for range 20 {
+		sim.crashUnderChecks(1)
+		sim.load(100*time.Millisecond, map[jobKind]float64{check: 40})
+		sim.submitRefused(label, 10)
+		is.True(sim.core.queues[check.queue].deadly)
+		is.True(s.count <= before)
+	}
+}
+
+// submitRefused submits one job that is refused at once and has the work of n usual ones
+// of its kind.
+func (sim *simulation) submitRefused(k jobKind, n float64) {
+	sim.lastWaiter++
+	tasks := 1 + int(n*float64(k.tasks)*6200/65000)
+	sim.jobs[sim.lastWaiter] = &testJob{Job: &Job{
+		ID: fmt.Sprint("large-", sim.lastWaiter), Queue: k.queue, Service: "s", Tasks: tasks, Estimate: k.runTime,
+		Need: message.Resources{MilliCPU: 65000}, Deadline: sim.now + time.Second,
+	}}
+	sim.apply(JobSubmitted{Waiter: sim.lastWaiter, Job: sim.jobs[sim.lastWaiter].Job})
+}
+
+// TestStartedEntryKeepsToTheConfinement guards against an entry that starts while a queue
+// is confined and takes all endpoints for it, as it has not seen other work yet.
+func TestStartedEntryKeepsToTheConfinement(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 8, 64000)
+	for _, i := range []int{2, 5} {
+		sim.agents[i].confinedElsewhere = 12400
+		sim.agents[i].used += 12400
+		sim.report(i, &message.RunReport{})
+	}
+	sim.apply(CrashesShared{Notice: &message.CrashNotice{Blame: map[string]float64{check.queue: maxQueueBlame}}})
+	sim.load(2*time.Second, map[jobKind]float64{check: 10, label: 20})
+	is.True(sim.core.queues[check.queue].deadly)
+	for i, a := range sim.agents {
+		is.Equal(sim.core.isolations["s"].confined[sim.core.agents[a.name]], i == 2 || i == 5)
+	}
+	for i := range sim.agents { // the others' confinement ends
+		sim.agents[i].used -= sim.agents[i].confinedElsewhere
+		sim.agents[i].confinedElsewhere = 0
+		sim.agents[i].confinedAt = 0
+		sim.report(i, &message.RunReport{})
+	}
+	sim.load(time.Second, map[jobKind]float64{check: 10, label: 20})
+	is.True(sim.core.confinementOf("s").count > 0)
+}
+
+// TestSmallAndSlowEndpointsAreConfined guards against other jobs that lack capacity
+// because the largest and fastest endpoints are spent on a deadly queue.
+func TestSmallAndSlowEndpointsAreConfined(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 8, 64000)
+	for _, i := range []int{1, 4, 6} {
+		sim.agents[i].slowFactor = 3
+	}
+	s := sim.confine(t, map[jobKind]float64{check: 10, label: 60})
+	is.True(s.count > 0)
+	slow := 0
+	for _, i := range []int{1, 4, 6} {
+		if sim.core.isolations["s"].confined[sim.core.agents[sim.agents[i].name]] {
+			slow++
+		}
+	}
+	is.Equal(slow, min(s.count, 3))
+}
--- a/pool/scheduler/crash_test.go
+++ b/pool/scheduler/crash_test.go
@@ -188,15 +188,18 @@
 
 // TestDeadlyQueueIsConfined guards against a kind of job that takes the whole fleet
 // down, each of its deadly jobs another endpoint: its jobs get a quarter of the
-// endpoints, which other jobs avoid, and are refused at once while those are away.
+// endpoints, as the others are busy, other jobs avoid these, and its jobs are refused at
+// once while they are away.
 func TestDeadlyQueueIsConfined(t *testing.T) {
+	const labelsPerStep = 12
 	sim := newSimulation(t, 8, 64000)
-	sim.load(2*time.Second, map[jobKind]float64{check: 10, press: 3, label: 40})
+	sim.load(2*time.Second, map[jobKind]float64{check: 10, label: 10 * labelsPerStep})
 	sim.crashUnderChecks(6)
 	used := map[string]map[int]bool{check.queue: {}, label.queue: {}}
 	for range 100 {
-		for _, k := range []jobKind{check, label, label, label, label} {
-			sim.submit(k)
+		sim.submit(check)
+		for range labelsPerStep {
+			sim.submit(label)
 		}
 		if !sim.core.queues[check.queue].deadly {
 			break // trusted again
@@ -222,6 +225,10 @@
 		}
 	}
 	sim.crashUnderChecks(4)
+	for range 4 { // more than two endpoints can start
+		sim.submit(check)
+	}
+	sim.advance()
 	confined := sim.core.isolations["s"].confined
 	for i, a := range sim.agents {
 		if confined[sim.core.agents[a.name]] {
--- a/pool/scheduler/isolation.go
+++ b/pool/scheduler/isolation.go
@@ -9,9 +9,10 @@
 
 // Jobs that may crash their endpoint are isolated from others. A suspect runs with no
 // other suspect, so that the next crash tells whether it was the cause. The jobs of a
-// deadly queue are confined to a part of the endpoints, which other jobs avoid. The part
-// is the same for all entries, and an endpoint that is down stays in it: otherwise each
-// crash would cost another endpoint.
+// deadly queue are confined to a part of the endpoints, which other jobs avoid. Entries
+// prefer endpoints on which confined jobs of others run already, so that they agree on
+// the part, and an endpoint that is down stays in it: otherwise each crash would cost
+// another endpoint.
 
 // isolationShare is the least share of the endpoints on which suspects may run.
 const isolationShare = 0.25
@@ -19,7 +20,7 @@
 // isolation is the state of the isolation of one service's jobs during a step.
 type isolation struct {
 	// confined holds the agents for the jobs of deadly queues, suspects those for
-	// suspects.
+	// suspects. Other jobs avoid the former and those that are confined by other entries.
 	confined, suspects map[*agent]bool
 	// othersReady is set if an agent that is in neither takes tasks.
 	othersReady bool
@@ -32,6 +33,11 @@
 func (c *Core) prepareIsolation() {
 	c.isolations = nil
 	deadlyShare := c.updateDeadly()
+	for _, a := range c.agentList {
+		if false {
+			c.isolate(a.endpoint.Service, deadlyShare)
+		}
+	}
 	if deadlyShare == 0 && c.suspects.Len() == 0 {
 		return
 	}
@@ -65,7 +71,7 @@
 			agents = append(agents, a)
 		}
 	}
-	slices.SortFunc(agents, func(a, b *agent) int { return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.name, b.name)) })
+	slices.SortFunc(agents, (*agent).compareConfinement)
 	confined := c.resizeConfinement(service, agents)
 	isolated := max(confined, int(math.Ceil(isolationShare*float64(len(agents)))))
 	if ready := slices.IndexFunc(agents, (*agent).isReady); ready >= isolated {
@@ -85,6 +91,28 @@
 	return iso
 }
 
+// compareConfinement orders agents for confinement: those first that are confined
+// already, those last that are away otherwise, and the smallest and slowest ones before
+// others. A large endpoint serves no more jobs of a deadly queue until it crashes than
+// a small one.
+func (a *agent) compareConfinement(b *agent) int {
+	group := func(a *agent) int {
+		switch {
+		case a.confined:
+			return 0
+		case a.isReady():
+			return 1
+		}
+		return 2
+	}
+	return cmp.Or(cmp.Compare(group(a), group(b)), cmp.Compare(a.sizeClass(), b.sizeClass()),
+		cmp.Compare(a.hash, b.hash), cmp.Compare(a.name, b.name))
+}
+
+// sizeClass returns the logarithm of the weighted capacity, rounded so that entries agree
+// on it though their estimates of the speed differ.
+func (a *agent) sizeClass() float64 { return math.Round(math.Log2(max(a.weightedCapacity(), 1))) }
+
 // isolatedRetry is the time after which a suspect is offered again to an agent that has
 // refused it beside another: a third of the duration of the shortest common task.
 const isolatedRetry = 20 * time.Millisecond
--- a/pool/scheduler/place.go
+++ b/pool/scheduler/place.go
@@ -339,7 +339,7 @@
 	if runStart == nil {
 		runStart = &message.RunStart{
 			Job: j.ID, Payload: j.Payload, Need: j.Need, EstimateMillis: j.Estimate.Milliseconds(), Queue: j.Queue,
-			Isolated: j.isSuspect(),
+			Isolated: j.isSuspect(), Confined: j.queue.deadly,
 		}
 		a.starts[j.ID] = runStart
 		a.startOrder = append(a.startOrder, j.ID)
--- a/pool/scheduler/simulation_test.go
+++ b/pool/scheduler/simulation_test.go
@@ -10,7 +10,12 @@
 	"marjoramlug.example/marjoramlug/verdict"
 )
 
-const simulationTick = time.Millisecond
+const (
+	simulationTick = time.Millisecond
+	// confinedHold is how long agents report themselves as confined after the last
+	// confined run, see pool/executor.
+	confinedHold = 400 * time.Millisecond
+)
 
 // simulation runs load on one core, with agents that report all ends at once
 // and lose no message.
@@ -37,15 +42,20 @@
 	// reportTimestamp stands for the agent's clock: it rises by 1 with each
 	// report.
 	reportTimestamp int64
-	running         map[message.RunRef]*testRun
-	ends            []message.RunEnd
-	runOrder        []message.RunRef
+	// confinedAt is the last time at which a confined run was there.
+	confinedAt time.Duration
+	// confinedElsewhere is what the confined runs of other entries use.
+	confinedElsewhere int64
+	running           map[message.RunRef]*testRun
+	ends              []message.RunEnd
+	runOrder          []message.RunRef
 }
 
 type testRun struct {
-	cpu    int64
-	began  time.Duration
-	doneAt time.Duration
+	cpu      int64
+	confined bool
+	began    time.Duration
+	doneAt   time.Duration
 }
 
 type testJob struct {
@@ -109,7 +119,7 @@
 			if a.stallsRuns {
 				took = time.Hour
 			}
-			a.running[ref] = &testRun{cpu: s.Need.MilliCPU, began: sim.now, doneAt: sim.now + took}
+			a.running[ref] = &testRun{cpu: s.Need.MilliCPU, confined: s.Confined, began: sim.now, doneAt: sim.now + took}
 			a.runOrder = append(a.runOrder, ref)
 		}
 	}
@@ -136,6 +146,16 @@
 	a.reportTimestamp++
 	report.Timestamp, report.OrdersSeq = a.reportTimestamp, a.ordersSeq
 	report.Free = message.Resources{MilliCPU: a.capacity - a.used}
+	report.ConfinedMilliCPU = a.confinedElsewhere
+	for _, run := range a.running {
+		if run.confined {
+			report.ConfinedMilliCPU += run.cpu
+		}
+	}
+	if report.ConfinedMilliCPU > 0 {
+		a.confinedAt = sim.now
+	}
+	report.Confined = a.confinedAt > 0 && sim.now-a.confinedAt <= confinedHold
 	report.Ends, a.ends = a.ends, nil
 	sim.apply(AgentReported{Session: Session(i + 1), Report: report})
 }
