Jobs do not wait for confined ones in the estimate of their wait

Other classes' jobs were refused ("the wait would be 52ms") while a deadly class was confined: its urgent jobs, which wait for other endpoints, counted as work before them, and its offered load as load before them.

The new test failed before (a wait of 87 ms expected with idle endpoints).

--- a/pool/scheduler/admission.go
+++ b/pool/scheduler/admission.go
@@ -72,12 +72,13 @@
 }
 
 // estimateWait estimates how long this entry takes to start the tasks that rank
-// before the job: those that wait now, and those that arrive in the meantime.
+// before the job: those that wait now, and those that arrive in the meantime. Confined
+// jobs wait for other endpoints.
 func (c *Core) estimateWait(j *job) time.Duration {
 	work := 0.0
 	rank := c.rank(j)
 	for _, other := range c.jobOrder {
-		if other.answered || other == j || other.waiting == 0 {
+		if other.answered || other == j || other.waiting == 0 || other.isConfined() {
 			continue
 		}
 		if r := c.rank(other); r < rank || r == rank && other.received <= j.received {
@@ -98,6 +99,9 @@
 	load := 0.0
 	own := j.queue.offeredLoad.rate(c.now)
 	for _, q := range c.queueList {
+		if q.deadly {
+			continue
+		}
 		offered := q.offeredLoad.rate(c.now)
 		lower := q.urgent && !j.Urgent || q.urgent == j.Urgent && offered < own
 		if j.late || q != j.queue && lower {
--- a/pool/scheduler/confinement_test.go
+++ b/pool/scheduler/confinement_test.go
@@ -118,3 +118,21 @@
 	}
 	is.Equal(slow, min(s.count, 3))
 }
+
+// TestWaitForConfinedEndpointsDelaysNoOtherJob guards against sound jobs that are refused
+// because confined ones, which wait for other endpoints, rank before them.
+func TestWaitForConfinedEndpointsDelaysNoOtherJob(t *testing.T) {
+	sim := newSimulation(t, 4, 64000)
+	sim.load(2*time.Second, map[jobKind]float64{check: 20, label: 40})
+	sim.crashUnderChecks(8)
+	for range 12 {
+		sim.submit(check)
+	}
+	j := sim.core.jobs[sim.submit(label).ID]
+	if j == nil {
+		t.Fatal("the job was answered at once")
+	}
+	if wait := sim.core.estimateWait(j); wait > 0 {
+		t.Errorf("a job is expected to wait %v for confined ones", wait)
+	}
+}
