Frequent crashes of other causes fail no job

The first crash left it a blame of 0.2, and the second was put down to it (0.95), as an endpoint was assumed to crash for other causes once in 50 s, however often it happened.

The assumed rate of such crashes now rises with the crashes for which no job is blamed, over the time and the endpoints observed. The new test replays the three crashes and failed before (given up with blame 1.00).

--- a/pool/scheduler/blame.go
+++ b/pool/scheduler/blame.go
@@ -15,12 +15,14 @@
 // start the endpoint crashed.
 
 const (
-	// otherCauseRisk is the weight of a cause that has nothing to do with runs, as the
-	// risk of a run that has the age otherCauseAge.
-	otherCauseRisk = 1e-3
+	// minOtherCauseRate is the least rate, in crashes a second, at which an endpoint is
+	// assumed to crash for causes that have nothing to do with runs. Before crashes have
+	// been observed for long, the rate is that of assumedCrashes in assumedTime.
+	minOtherCauseRate = 0.02
+	assumedCrashes    = 0.2
+	assumedTime       = 10 * time.Second
 	// minCrashAge is the age below which runs are suspected alike.
-	minCrashAge   = 5 * time.Millisecond
-	otherCauseAge = 50 * time.Millisecond
+	minCrashAge = 5 * time.Millisecond
 	// simultaneousCrashes is the time within which crashes of several endpoints count as
 	// simultaneous, reportDelay the usual difference between the delays of two reports.
 	simultaneousCrashes = 50 * time.Millisecond
@@ -147,10 +149,12 @@
 
 // assess divides the blame for a crash.
 func (c *Core) assess(k *crashRecord) {
-	total := k.otherCauses * otherCauseRisk / otherCauseAge.Seconds() / crashAgeRange
+	other := k.otherCauses * c.otherCauseRate(k) / crashAgeRange
+	total := other
 	for _, cj := range k.jobs {
 		total += cj.odds()
 	}
+	k.unexplained = other / total
 	for _, cj := range k.jobs {
 		blame := cj.odds() / total
 		// What the job was blamed for before does not count against its queue again.
@@ -164,6 +168,20 @@
 	}
 }
 
+// otherCauseRate returns the rate, in crashes a second, at which an endpoint crashes for
+// causes that have nothing to do with runs: from the other crashes, as far as no job is
+// blamed for them, and the time for which this entry's agents have been observed.
+func (c *Core) otherCauseRate(k *crashRecord) float64 {
+	crashes := assumedCrashes
+	for _, other := range c.crashes.All() {
+		if other != k && other.ownAgent {
+			crashes += other.unexplained / other.size
+		}
+	}
+	observed := time.Duration(len(c.agentList)) * min(c.now-c.startedAt, crashMemory)
+	return max(minOtherCauseRate, crashes/(assumedTime+observed).Seconds())
+}
+
 // odds returns the weight of a job as the cause of a crash.
 func (cj *crashedJob) odds() float64 {
 	const highest = 0.999
--- a/pool/scheduler/core.go
+++ b/pool/scheduler/core.go
@@ -61,8 +61,10 @@
 	// settlingSince is the time of the first step, or of the first one after a pause
 	// of this process in which agents may have dropped this entry.
 	settlingSince time.Duration
-	lastExpiry    time.Duration
-	actions       []Action
+	// startedAt is the time of the first step.
+	startedAt  time.Duration
+	lastExpiry time.Duration
+	actions    []Action
 
 	jobs     map[string]*job
 	jobOrder []*job
@@ -150,6 +152,9 @@
 func (c *Core) Step(now time.Duration, events ...Event) []Action {
 	c.actions = nil
 	pause := now - c.now
+	if c.now == 0 {
+		c.startedAt = now
+	}
 	if c.now == 0 || pause > c.opts.HeartbeatTimeout {
 		c.settlingSince = now
 	}
--- a/pool/scheduler/crash.go
+++ b/pool/scheduler/crash.go
@@ -45,6 +45,10 @@
 	// size is the number of endpoints that crashed at the same time; otherCauses
 	// multiplies the weight of a cause that has nothing to do with runs.
 	size, otherCauses float64
+	// unexplained is the probability that no job has caused the crash; ownAgent is set if
+	// an agent of this entry reported it.
+	unexplained float64
+	ownAgent    bool
 }
 
 // crashedJob is a job under a crash.
@@ -159,6 +163,7 @@
 		k = &crashRecord{id: id, at: c.now - time.Duration(max(crash.AgoMillis, 0))*time.Millisecond, size: 1, otherCauses: 1}
 		c.crashes.Set(id, k)
 	}
+	k.ownAgent = k.ownAgent || fromAgent
 	changed := false
 	for _, r := range crash.Runs {
 		changed = c.addCrashedRun(k, crash, r, fromAgent) || changed
--- a/pool/scheduler/crash_test.go
+++ b/pool/scheduler/crash_test.go
@@ -482,3 +482,27 @@
 		t.Errorf("not given up, blame %.2f", deadly.blame)
 	}
 }
+
+// TestFrequentCrashesOfOtherCausesFailNoJob guards against a sound job that is answered as
+// failed because two endpoints crashed under one of its tasks: where endpoints crash every
+// few seconds, chance explains that (soak, seed 1).
+func TestFrequentCrashesOfOtherCausesFailNoJob(t *testing.T) {
+	sim := newSimulation(t, 4, 8000)
+	sim.advanceFor(2 * time.Second)
+	crash := func(endpoint string, runs ...message.CrashedRun) {
+		sim.core.recordCrashes([]message.EndpointCrash{endpointCrash(endpoint, runs...)}, true)
+		sim.apply(Tick{})
+		sim.advanceFor(1200 * time.Millisecond)
+	}
+	crash("one", under("first", 2, "q", 655*time.Millisecond))
+	sim.apply(JobsCompletedElsewhere{IDs: []string{"first"}})
+	crash("two", under("a", 0, "q", 234*time.Millisecond), under("unlucky", 2, "q", 276*time.Millisecond),
+		under("b", 2, "q", 365*time.Millisecond), under("c", 1, "q", 412*time.Millisecond), under("d", 0, "q", 1218*time.Millisecond))
+	again := under("unlucky", 2, "q", 666*time.Millisecond)
+	again.Run.Number = 2
+	crash("three", again, under("unlucky", 4, "q", 861*time.Millisecond), under("unlucky", 3, "q", 861*time.Millisecond),
+		under("e", 1, "q", 895*time.Millisecond))
+	if s := sim.core.suspects.Get("unlucky"); s.givenUp {
+		t.Errorf("given up with blame %.2f", s.blame)
+	}
+}
