Confined endpoints that are away are the last to be given back

They now come first in the order of confinement: more load gives back endpoints that others can use.

--- a/pool/scheduler/isolation.go
+++ b/pool/scheduler/isolation.go
@@ -92,21 +92,25 @@
 }
 
 // compareConfinement orders agents for confinement: those first that are confined
-// already, those last that are away otherwise, and the smallest and slowest ones before
-// others. A large endpoint serves no more jobs of a deadly queue until it crashes than
-// a small one.
+// already, of these the ones that are away, as nobody gains if they are given back. Of
+// the others, the smallest and slowest ones come first, as a large endpoint serves no
+// more jobs of a deadly queue until it crashes than a small one, and those that are away
+// last.
 func (a *agent) compareConfinement(b *agent) int {
-	group := func(a *agent) int {
-		switch {
-		case a.confined:
-			return 0
-		case a.isReady():
-			return 1
-		}
+	return cmp.Or(cmp.Compare(a.confinementGroup(), b.confinementGroup()), cmp.Compare(a.sizeClass(), b.sizeClass()),
+		cmp.Compare(a.hash, b.hash), cmp.Compare(a.name, b.name))
+}
+
+func (a *agent) confinementGroup() int {
+	switch {
+	case a.confined && !a.isReady():
+		return 0
+	case a.confined:
+		return 1
+	case a.isReady():
 		return 2
 	}
-	return cmp.Or(cmp.Compare(group(a), group(b)), cmp.Compare(a.sizeClass(), b.sizeClass()),
-		cmp.Compare(a.hash, b.hash), cmp.Compare(a.name, b.name))
+	return 3
 }
 
 // sizeClass returns the logarithm of the weighted capacity, rounded so that entries agree
