Rather sound neighbours of a deadly queue run again

Those below a blame of a half now run again, isolated like any other suspect.

Kept, as a sound job is not given up for its neighbours.

The new test failed before (answered with 504).

--- a/pool/scheduler/confinement_test.go
+++ b/pool/scheduler/confinement_test.go
@@ -136,3 +136,31 @@
 		t.Errorf("a job is expected to wait %v for confined ones", wait)
 	}
 }
+
+// TestSoundNeighbourOfADeadlyQueueRunsAgain guards against sound jobs that are given up
+// because they shared an endpoint with a deadly one of their queue: one that is more
+// likely sound than not runs again, on another confined endpoint.
+func TestSoundNeighbourOfADeadlyQueueRunsAgain(t *testing.T) {
+	is := is.New(t)
+	small := jobKind{queue: check.queue, urgent: true, tasks: 2, runTime: 60 * time.Millisecond}
+	sim := newSimulation(t, 8, 64000)
+	s := sim.confine(t, map[jobKind]float64{check: 20, label: 40})
+	sim.advanceFor(300 * time.Millisecond)
+	is.True(s.count > 1)
+	sound := sim.submitExactly(small, small.runTime, small.runTime)
+	at := sim.agentOf(sound)
+	sim.advanceFor(8 * time.Millisecond)
+	var deadly *testJob
+	for range 8 { // until one runs beside it
+		if deadly = sim.submitExactly(small, small.runTime, small.runTime); sim.agentOf(deadly) == at {
+			break
+		}
+	}
+	is.Equal(sim.agentOf(deadly), at)
+	sim.advanceFor(12 * time.Millisecond)
+	sim.crash(at)
+	blame := sim.core.suspects.Get(sound.ID).blame
+	is.True(blame >= suspectBlame && blame < strongBlame)
+	sim.drain()
+	is.True(sound.answer != nil && !sound.answer.Failed)
+}
--- a/pool/scheduler/isolation.go
+++ b/pool/scheduler/isolation.go
@@ -129,7 +129,7 @@
 	}
 	hosted := iso.hosted[a]
 	switch {
-	case j.queue.deadly && j.isSuspect():
+	case j.queue.deadly && j.blameOf() >= strongBlame:
 		// The endpoint that it may crash can serve several other jobs of its queue.
 		return false
 	case j.isSuspect():
