Promises with shrinking capacity

The tests of a pool's promises had endpoints of constant capacity, so that nothing but the tests of single agents spoke for the users' rule LIMIT.

--- a/pool/endpoint_model_test.go
+++ b/pool/endpoint_model_test.go
@@ -18,6 +18,8 @@
 	startedAt           time.Duration
 	announcementSeq     int64
 	capacity            int64
+	// replaced lists the capacities that the endpoint had before, oldest first.
+	replaced []replacedCapacity
 	// clockPercent is the rate of the endpoint's clock in percent of real time.
 	clockPercent  int64
 	fence         int64
@@ -33,6 +35,36 @@
 	downUntil time.Duration
 }
 
+// replacedCapacity is a capacity that an endpoint had until a time.
+type replacedCapacity struct {
+	capacity int64
+	until    time.Duration
+}
+
+func (e *modelEndpoint) setCapacity(now time.Duration, capacity int64) {
+	e.replaced = append(e.replaced, replacedCapacity{e.capacity, now})
+	e.capacity = capacity
+}
+
+// largestCapacity returns the largest capacity that the endpoint had since a time.
+func (e *modelEndpoint) largestCapacity(since time.Duration) int64 {
+	largest := e.capacity
+	for _, r := range e.replaced {
+		if r.until >= since {
+			largest = max(largest, r.capacity)
+		}
+	}
+	return largest
+}
+
+func (e *modelEndpoint) used() int64 {
+	used := int64(0)
+	for _, r := range e.running.All() {
+		used += r.cpu
+	}
+	return used
+}
+
 type modelRun struct {
 	ref    message.RunRef
 	cpu    int64
@@ -165,7 +197,12 @@
 	clock := executor.Clock{Millis: e.clock(sim.now), Known: e.up}
 	switch c := p.call.(type) {
 	case executor.StartCall:
-		return executor.StartAnswered{Call: c.Call, Run: c.Run, Result: sim.start(e, c), Clock: clock}
+		before := e.running.Len()
+		result := sim.start(e, c)
+		if e.running.Len() > before && !p.unanswered {
+			sim.checkShrunkCapacity(a)
+		}
+		return executor.StartAnswered{Call: c.Call, Run: c.Run, Result: result, Clock: clock}
 	case executor.StopCall:
 		return executor.StopAnswered{Call: c.Call, Run: c.Run, Accepted: sim.stop(e, c), Clock: clock}
 	case executor.PollCall:
--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -353,17 +353,15 @@
 	alive := map[string]string{}
 	for _, a := range sim.agents {
 		e := a.endpoint
-		used := int64(0)
 		for _, r := range e.running.All() {
-			used += r.cpu
 			task := fmt.Sprintf("%s.%d", r.ref.Job, r.ref.Task)
 			if other := alive[task]; other != "" {
 				sim.fail("%s runs at %s and at %s", task, other, a.name)
 			}
 			alive[task] = a.name
 		}
-		if used > e.capacity {
-			sim.fail("%s runs %d of its %d thousandths of a core", a.name, used, e.capacity)
+		if used, capacity := e.used(), e.largestCapacity(0); used > capacity {
+			sim.fail("%s runs %d of its %d thousandths of a core", a.name, used, capacity)
 		}
 	}
 }
