Starts are not sent again beside runs of unknown size

A start without an answer was sent again although a poll had shown a run that this process had not started, as one that an endpoint carries out late: the endpoint may be over its capacity then (LIMIT). A poll now decides first whether the start has arrived. The new test failed before (sent once more).

--- a/pool/executor/crash_test.go
+++ b/pool/executor/crash_test.go
@@ -74,6 +74,25 @@
 	}
 }
 
+// TestStartIsNotRepeatedBesideAnUnknownRun guards against a start that brings an endpoint
+// over its capacity (the users' rule LIMIT): it is not answered, and before it is sent
+// again a run of unknown size is found there.
+func TestStartIsNotRepeatedBesideAnUnknownRun(t *testing.T) {
+	r := readyHarness(t)
+	r.step(Tick{})
+	r.orders(1, "a", 1, 9000)
+	start := r.onlyStart()
+	r.now += 20 * time.Millisecond
+	r.step(PollAnswered{
+		Call: r.waitingPoll(), Result: PollAccepted, EndpointIncarnation: 1, Running: []AliveRun{{Run: message.RunRef{Job: "late", Number: 1}}},
+		Clock: Clock{Millis: 5010 + r.now.Milliseconds(), Known: true},
+	})
+	r.step(StartAnswered{Call: start.Call, Run: start.Run, Result: StartNoAnswer})
+	if n := len(actionsOf[StartCall](r)); n != 0 {
+		t.Errorf("%d starts were sent again beside a run of unknown size", n)
+	}
+}
+
 // crashes returns the crashes in the reports of the last step.
 func (r *harness) crashes() []message.EndpointCrash {
 	var list []message.EndpointCrash
--- a/pool/executor/run.go
+++ b/pool/executor/run.go
@@ -281,9 +281,11 @@
 // it has not answered.
 func (r *run) uncertain() bool { return r.unanswered || r.broken }
 
-// overCommitted reports whether the runs together exceed the endpoint's capacity, which
-// may have shrunk since they were accepted.
-func (c *Core) overCommitted() bool { return !c.used.Fits(c.endpoint.capacity) }
+// overCommitted reports whether the runs together may exceed the endpoint's capacity: it
+// may have shrunk since they were accepted, or runs of unknown size are there.
+func (c *Core) overCommitted() bool {
+	return c.endpoint.unknownRuns.Len() > 0 || !c.used.Fits(c.endpoint.capacity)
+}
 
 func (c *Core) endRefused(r *run, cause message.RunCause) {
 	c.removeRun(r)
