scheduler: tests of blame and of confinements in files of their own

The tests are moved as they were. updateDeadly reports whether a queue is deadly, as nothing used the share; a loop left over from a trial is gone.

--- a/pool/scheduler/confinement.go
+++ b/pool/scheduler/confinement.go
@@ -57,12 +57,11 @@
 	return max(priorCrashes/(q.survived+priorJobs), q.blame*queueBlameWeight)
 }
 
-// updateDeadly decides which queues count as deadly and returns their share of the
-// offered load. If almost all load is theirs, none is: there is little to keep them
-// from.
-func (c *Core) updateDeadly() float64 {
+// updateDeadly decides which queues count as deadly and reports whether there is one. If
+// almost all load is theirs, none is: there is little to keep them from.
+func (c *Core) updateDeadly() bool {
 	if !slices.ContainsFunc(c.queueList, func(q *queue) bool { return q.deadly || q.blame >= minQueueBlame }) {
-		return 0
+		return false
 	}
 	capacity := c.meanCapacity()
 	deadly, all := 0.0, 0.0
@@ -77,10 +76,7 @@
 	for _, q := range c.queueList {
 		c.setDeadly(q, share <= maxDeadlyShare && q.crashesCostMoreThanWork(capacity), q.offeredLoad.rate(c.now)/max(all, 1))
 	}
-	if share > maxDeadlyShare {
-		return 0
-	}
-	return share
+	return slices.ContainsFunc(c.queueList, func(q *queue) bool { return q.deadly })
 }
 
 // crashesCostMoreThanWork reports whether the crashes that a queue's jobs cause cost
--- a/pool/scheduler/confinement_size.go
+++ b/pool/scheduler/confinement_size.go
@@ -41,8 +41,8 @@
 	return s
 }
 
-// weightedCapacity returns the capacity of an agent's endpoint at the speed of an average one, in
-// thousandths of a core.
+// weightedCapacity returns the capacity of an agent's endpoint at the speed of an
+// average one, in thousandths of a core.
 func (a *agent) weightedCapacity() float64 {
 	return float64(a.endpoint.Capacity.MilliCPU) / a.slowness()
 }
@@ -125,7 +125,7 @@
 }
 
 // spared returns how many agents, from the first one on, can be spared so that the
-// others have a capacity.
+// others that are ready have at least the given weighted capacity.
 func spared(agents []*agent, capacity float64) int {
 	left := 0.0
 	for i, a := range slices.Backward(agents) {
--- a/pool/scheduler/confinement_test.go
+++ b/pool/scheduler/confinement_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"marjoramlug.example/marjoramlug/message"
+	"marjoramlug.example/marjoramlug/verdict"
 
 	"github.com/matryer/is"
 )
@@ -164,3 +165,132 @@
 	sim.drain()
 	is.True(sound.answer != nil && !sound.answer.Failed)
 }
+
+// crashUnderChecks makes the queue of checks deadly: endpoints that are not part of the
+// simulation crash under new checks, one after the other.
+func (sim *simulation) crashUnderChecks(n int) {
+	for range n {
+		i := sim.core.crashes.Len()
+		sim.core.recordCrashes([]message.EndpointCrash{endpointCrash(fmt.Sprint("elsewhere-", i),
+			under(fmt.Sprint("lost-", i), 0, check.queue, 12*time.Millisecond))}, true)
+		sim.advanceFor(100 * time.Millisecond)
+	}
+}
+
+// TestDeadlyQueueIsConfined guards against a kind of job that takes the whole fleet
+// down, each of its deadly jobs another endpoint: its jobs get a quarter of the
+// endpoints, as the others are busy, other jobs avoid these, and its jobs are refused at
+// once while they are away.
+func TestDeadlyQueueIsConfined(t *testing.T) {
+	const labelsPerStep = 12
+	sim := newSimulation(t, 8, 64000)
+	sim.load(2*time.Second, map[jobKind]float64{check: 10, label: 10 * labelsPerStep})
+	sim.crashUnderChecks(6)
+	used := map[string]map[int]bool{check.queue: {}, label.queue: {}}
+	for range 100 {
+		sim.submit(check)
+		for range labelsPerStep {
+			sim.submit(label)
+		}
+		if !sim.core.queues[check.queue].deadly {
+			break // trusted again
+		}
+		for i, a := range sim.agents {
+			for ref := range a.running {
+				if agents := used[sim.queueOf(ref.Job)]; agents != nil {
+					agents[i] = true
+				}
+			}
+		}
+		if len(used[check.queue]) == 0 {
+			t.Fatal("no check runs")
+		}
+		sim.advanceFor(100 * time.Millisecond)
+	}
+	if n := len(used[check.queue]); n > 2 {
+		t.Errorf("a deadly queue has used %d of 8 endpoints", n)
+	}
+	for i := range used[check.queue] {
+		if used[label.queue][i] {
+			t.Errorf("other jobs run beside it on endpoint %d", i)
+		}
+	}
+	sim.crashUnderChecks(4)
+	for range 4 { // more than two endpoints can start
+		sim.submit(check)
+	}
+	sim.advance()
+	confined := sim.core.isolations["s"].confined
+	for i, a := range sim.agents {
+		if confined[sim.core.agents[a.name]] {
+			sim.crash(i)
+		}
+	}
+	sim.advance()
+	j := sim.submit(check)
+	if j.answer == nil || j.answer.Verdict != verdict.NotRun || j.answer.RetryAfterMillis < crashOutage.Milliseconds() {
+		t.Errorf("answer while the endpoints are away: %+v", j.answer)
+	}
+}
+
+// TestDeadlyQueueIsTrustedAgain guards against a kind of job that stays confined after
+// its deadly jobs have gone.
+func TestDeadlyQueueIsTrustedAgain(t *testing.T) {
+	sim := newSimulation(t, 8, 64000)
+	sim.load(2*time.Second, map[jobKind]float64{check: 10, press: 3, label: 40})
+	sim.crashUnderChecks(8)
+	if !sim.core.queues[check.queue].deadly {
+		t.Fatal("the queue is not confined")
+	}
+	sim.load(10*time.Second, map[jobKind]float64{check: 10, press: 3, label: 40})
+	if sim.core.queues[check.queue].deadly {
+		t.Errorf("still confined after 10 s without a crash, blame %.2f", sim.core.queues[check.queue].blame)
+	}
+	sim.drain()
+}
+
+// TestConfinementFollowsSpareCapacity guards against confined jobs that are refused while
+// endpoints are idle, and against other jobs that lack the endpoints that crash under
+// them: the more the others need, the fewer endpoints a deadly queue gets.
+func TestConfinementFollowsSpareCapacity(t *testing.T) {
+	confined := func(labels float64) int {
+		sim := newSimulation(t, 8, 64000)
+		rates := map[jobKind]float64{check: 20, label: labels}
+		sim.load(4*time.Second, rates)
+		for range 8 {
+			sim.crashUnderChecks(1)
+			sim.load(200*time.Millisecond, rates)
+		}
+		return sim.core.confinementOf("s").count
+	}
+	if idle, busy := confined(40), confined(200); idle < 4 || busy > 1 {
+		t.Errorf("%d of 8 endpoints are confined while a quarter is used, %d while most are", idle, busy)
+	}
+}
+
+// TestLateConfinedJobsAreRefused guards against confined endpoints that are spent on late
+// answers: each run there may crash the endpoint, and jobs that can be in time wait.
+func TestLateConfinedJobsAreRefused(t *testing.T) {
+	sim := newSimulation(t, 2, 64000)
+	sim.load(2*time.Second, map[jobKind]float64{check: 20, label: 40})
+	sim.crashUnderChecks(8)
+	if !sim.core.queues[check.queue].deadly {
+		t.Fatal("the queue is not confined")
+	}
+	objectives := map[*testJob]time.Duration{}
+	for range 6 {
+		j := sim.submit(check)
+		objectives[j] = time.Duration(j.Stretch*float64(j.Estimate)) + j.Slack
+	}
+	sim.advanceFor(time.Second)
+	for j, objective := range objectives {
+		switch {
+		case j.answer == nil:
+			t.Errorf("job %s has no answer", j.ID)
+		case j.answer.Failed && j.answer.Verdict != verdict.NotRun:
+			t.Errorf("job %s was started in vain: %+v", j.ID, j.answer)
+		case j.answered-j.sent > objective+objective/10: // run times are estimated
+			t.Errorf("job %s was answered %v after it was submitted, objective %v", j.ID, j.answered-j.sent, objective)
+		}
+	}
+}
--- a/pool/scheduler/isolation.go
+++ b/pool/scheduler/isolation.go
@@ -20,7 +20,7 @@
 // isolation is the state of the isolation of one service's jobs during a step.
 type isolation struct {
 	// confined holds the agents for the jobs of deadly queues, suspects those for
-	// suspects. Other jobs avoid the former and those that are confined by other entries.
+	// suspects. Other jobs avoid the former.
 	confined, suspects map[*agent]bool
 	// othersReady is set if an agent that is in neither takes tasks.
 	othersReady bool
@@ -32,38 +32,32 @@
 // suspects. Without either, nothing is isolated.
 func (c *Core) prepareIsolation() {
 	c.isolations = nil
-	deadlyShare := c.updateDeadly()
-	for _, a := range c.agentList {
-		if false {
-			c.isolate(a.endpoint.Service, deadlyShare)
-		}
-	}
-	if deadlyShare == 0 && c.suspects.Len() == 0 {
+	if !c.updateDeadly() && c.suspects.Len() == 0 {
 		return
 	}
 	for _, q := range c.queueList {
 		if q.deadly {
-			c.isolate(q.service, deadlyShare)
+			c.isolate(q.service)
 		}
 	}
 	for _, j := range c.jobOrder {
 		if !j.answered && j.isSuspect() {
-			c.isolate(j.Service, deadlyShare)
+			c.isolate(j.Service)
 		}
 	}
 }
 
-func (c *Core) isolate(service string, deadlyShare float64) {
+func (c *Core) isolate(service string) {
 	if c.isolations[service] != nil {
 		return
 	}
 	if c.isolations == nil {
 		c.isolations = map[string]*isolation{}
 	}
-	c.isolations[service] = c.newIsolation(service, deadlyShare)
+	c.isolations[service] = c.newIsolation(service)
 }
 
-func (c *Core) newIsolation(service string, deadlyShare float64) *isolation {
+func (c *Core) newIsolation(service string) *isolation {
 	iso := &isolation{confined: map[*agent]bool{}, suspects: map[*agent]bool{}, hosted: map[*agent]*suspect{}}
 	var agents []*agent
 	for _, a := range c.agentList {
