The estimate of other work falls again after a confinement

A second confinement would have been too small for the load of its time. The new test failed before (the estimate stayed above half of its value when the load fell to a sixth).

--- a/pool/scheduler/confinement_test.go
+++ b/pool/scheduler/confinement_test.go
@@ -294,3 +294,16 @@
 		}
 	}
 }
+
+// TestOtherWorkFallsWithTheLoadAfterAConfinement guards against a second confinement that
+// is too small, because the estimate of other jobs' work still is that of the first one's
+// time: it is only raised while queues are confined.
+func TestOtherWorkFallsWithTheLoadAfterAConfinement(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 8, 64000)
+	s := sim.confine(t, map[jobKind]float64{check: 20, label: 120})
+	before := s.othersWork
+	sim.load(10*time.Second, map[jobKind]float64{check: 20, label: 20})
+	is.True(!sim.core.queues[check.queue].deadly)
+	is.True(s.othersWork < before/2)
+}
--- a/pool/scheduler/isolation.go
+++ b/pool/scheduler/isolation.go
@@ -32,8 +32,13 @@
 // suspects. Without either, nothing is isolated.
 func (c *Core) prepareIsolation() {
 	c.isolations = nil
-	if !c.updateDeadly() && c.suspects.Len() == 0 {
-		return
+	if !c.updateDeadly() {
+		for _, s := range c.confinements.All() {
+			s.count = 0
+		}
+		if c.suspects.Len() == 0 {
+			return
+		}
 	}
 	for _, q := range c.queueList {
 		if q.deadly {
