--- a/pool/executor/crash_test.go
+++ b/pool/executor/crash_test.go
@@ -249,8 +249,8 @@
 }
 
 // TestConfinedUseIsReportedToAllEntries guards against entries that disagree on which
-// endpoints are confined: an agent tells all of them while confined jobs use its endpoint,
-// and while it is away after a crash under one.
+// endpoints are confined: an agent reports to all of them that confined jobs use its
+// endpoint, also while it is away after a crash under one.
 func TestConfinedUseIsReportedToAllEntries(t *testing.T) {
 	is := is.New(t)
 	r := readyHarness(t)
--- a/pool/scheduler/isolation.go
+++ b/pool/scheduler/isolation.go
@@ -90,11 +90,10 @@
 	return iso
 }
 
-// compareConfinement orders agents for confinement: those first that are confined
-// already, of these the ones that are away, as nobody gains if they are given back. Of
-// the others, the smallest and slowest ones come first, as a large endpoint serves no
-// more jobs of a deadly queue until it crashes than a small one, and those that are away
-// last.
+// compareConfinement orders agents for confinement. Those that are confined already come
+// first, and of these the ones that are away, as to give them back frees no capacity. Of
+// the others, the smallest and slowest come first, as a large endpoint serves no more
+// jobs of a deadly queue until it crashes than a small one, and those that are away last.
 func (a *agent) compareConfinement(b *agent) int {
 	return cmp.Or(cmp.Compare(a.confinementGroup(), b.confinementGroup()), cmp.Compare(a.sizeClass(), b.sizeClass()),
 		cmp.Compare(a.hash, b.hash), cmp.Compare(a.name, b.name))
