A second deadly queue does not release the first

The log shows why: the queues together had more than 0.8 of an entry's load, from which on none counted as deadly ("queue released" with 2.76 crashes at 9.788 s), so that both ran everywhere.

Queues are now taken one after the other until 0.8 of the load is confined, those first that are confined already, then those that cause the most crashes for their work; one that is confined stays so up to 0.9. What is left: 46 deadly jobs in 12 s cost more endpoints than there are. The new test failed before (released with 1.79 crashes).

--- a/pool/scheduler/confinement.go
+++ b/pool/scheduler/confinement.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -25,8 +26,10 @@
 	minQueueBlame = 1.2
 	// releaseBlame is the blame below which a deadly queue is trusted again.
 	releaseBlame = 1
-	// maxDeadlyShare is the share of the load up to which queues can count as deadly.
+	// maxDeadlyShare is the share of the load up to which queues can begin to count as
+	// deadly, releaseShare the one up to which they go on.
 	maxDeadlyShare = 0.8
+	releaseShare   = 0.9
 	// maxQueueBlame bounds the blame, and with it the number of sound jobs after which
 	// a queue is trusted again.
 	maxQueueBlame = 3
@@ -58,25 +61,44 @@
 }
 
 // updateDeadly decides which queues count as deadly and reports whether there is one. If
-// almost all load is theirs, none is: there is little to keep them from.
+// almost all load is theirs, some are left out: there is little to keep them from.
 func (c *Core) updateDeadly() bool {
 	if !slices.ContainsFunc(c.queueList, func(q *queue) bool { return q.deadly || q.blame >= minQueueBlame }) {
 		return false
 	}
 	capacity := c.meanCapacity()
-	deadly, all := 0.0, 0.0
+	all := 0.0
 	for _, q := range c.queueList {
-		rate := q.offeredLoad.rate(c.now)
-		all += rate
-		if q.crashesCostMoreThanWork(capacity) {
-			deadly += rate
+		all += q.offeredLoad.rate(c.now)
+	}
+	queues := slices.Clone(c.queueList)
+	slices.SortStableFunc(queues, compareDeadly)
+	confined := 0.0
+	for _, q := range queues {
+		share := q.offeredLoad.rate(c.now) / max(all, 1)
+		limit := maxDeadlyShare
+		if q.deadly {
+			limit = releaseShare
 		}
+		deadly := q.crashesCostMoreThanWork(capacity) && confined+share <= limit
+		if deadly {
+			confined += share
+		}
+		c.setDeadly(q, deadly, share)
 	}
-	share := deadly / max(all, 1)
-	for _, q := range c.queueList {
-		c.setDeadly(q, share <= maxDeadlyShare && q.crashesCostMoreThanWork(capacity), q.offeredLoad.rate(c.now)/max(all, 1))
+	return confined > 0
+}
+
+// compareDeadly orders queues by how much their confinement spares the others: those first
+// that are confined already, then those whose jobs cause the most crashes for their work.
+func compareDeadly(a, b *queue) int {
+	if a.deadly != b.deadly {
+		if a.deadly {
+			return -1
+		}
+		return 1
 	}
-	return slices.ContainsFunc(c.queueList, func(q *queue) bool { return q.deadly })
+	return cmp.Compare(b.risk()*a.meanWork, a.risk()*b.meanWork)
 }
 
 // crashesCostMoreThanWork reports whether the crashes that a queue's jobs cause cost
--- a/pool/scheduler/confinement_test.go
+++ b/pool/scheduler/confinement_test.go
@@ -307,3 +307,32 @@
 	is.True(!sim.core.queues[check.queue].deadly)
 	is.True(s.othersWork < before/2)
 }
+
+// TestSecondDeadlyQueueReleasesNoOther guards against a fleet that is taken down because a
+// second deadly queue comes: together they have almost all of the load, and neither was
+// confined any more.
+func TestSecondDeadlyQueueReleasesNoOther(t *testing.T) {
+	sim := newSimulation(t, 8, 64000)
+	rates := map[jobKind]float64{check: 30, label: 60, press: 1}
+	crashUnder := func(k jobKind, n int) {
+		for range n {
+			i := sim.core.crashes.Len()
+			sim.core.recordCrashes([]message.EndpointCrash{endpointCrash(fmt.Sprint("elsewhere-", i),
+				under(fmt.Sprint("lost-", i), 0, k.queue, 12*time.Millisecond))}, true)
+			sim.load(100*time.Millisecond, rates)
+		}
+	}
+	sim.load(4*time.Second, rates)
+	crashUnder(label, 8)
+	labels := sim.core.queues[label.queue]
+	if !labels.deadly {
+		t.Fatal("the first queue is not confined")
+	}
+	for range 10 {
+		crashUnder(check, 1)
+		crashUnder(label, 3)
+		if !labels.deadly {
+			t.Fatalf("the first queue is released with a blame of %.2f", labels.blame)
+		}
+	}
+}
