--- a/emulator/crash_test.go
+++ b/emulator/crash_test.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"testing"
+
+	"marjoramlug.example/marjoramlug/internal/knownred"
 )
 
 // deadlyDay is the users' day: one urgent job in ten crashes each endpoint that
@@ -48,6 +50,14 @@
 	}
 }
 
+// TestDeadlyJobsInOneInstant guards against a fleet that several deadly jobs take down
+// before anything is known of them: in this seed three come within 12 ms, as few as the
+// crashes of a lost rack lie apart. The bound is the aim of the users' day.
+func TestDeadlyJobsInOneInstant(t *testing.T) {
+	r := Run(t.Context(), deadlyExperiment(t, deadlyDay), 22)
+	knownred.Expect(t, r.WorstWindows >= 0.5, "worst windows %.2f, %d crashes", r.WorstWindows, r.Crashes)
+}
+
 // TestSingleDeadlyJobsAreGivenUp guards against a deadly job that gets endpoint after
 // endpoint: where one job in 300 is deadly, each crashes two endpoints at most, and
 // the fleet goes on as on any day with trouble.
