scheduler: one sum of the work before a job, one weighted capacity

estimateWait and confinedWait had the same loop over waiting jobs with opposite filters, and confinedWait computed an endpoint's capacity at its speed by hand. Both call workBefore and weightedCapacity now.

--- a/pool/scheduler/admission.go
+++ b/pool/scheduler/admission.go
@@ -75,21 +75,28 @@
 // before the job: those that wait now, and those that arrive in the meantime. Confined
 // jobs wait for other endpoints.
 func (c *Core) estimateWait(j *job) time.Duration {
+	work := c.workBefore(j, false)
+	if work == 0 {
+		return 0
+	}
+	rate := c.startRate()
+	return duration(work / max(rate-c.loadBefore(j), minRateShare*rate))
+}
+
+// workBefore returns the work, in thousandths of a core times seconds, of the waiting
+// tasks of other jobs that rank before a job: of the confined jobs or of the rest.
+func (c *Core) workBefore(j *job, confined bool) float64 {
 	work := 0.0
 	rank := c.rank(j)
 	for _, other := range c.jobOrder {
-		if other.answered || other == j || other.waiting == 0 || other.isConfined() {
+		if other.answered || other == j || other.waiting == 0 || other.isConfined() != confined {
 			continue
 		}
 		if r := c.rank(other); r < rank || r == rank && other.received <= j.received {
 			work += other.work(other.waiting)
 		}
 	}
-	if work == 0 {
-		return 0
-	}
-	rate := c.startRate()
-	return duration(work / max(rate-c.loadBefore(j), minRateShare*rate))
+	return work
 }
 
 // loadBefore returns the offered load, in thousandths of a core, of the jobs that
--- a/pool/scheduler/confinement.go
+++ b/pool/scheduler/confinement.go
@@ -166,22 +166,13 @@
 // confinedWait estimates how long a confined job waits for the confined jobs that rank
 // before it.
 func (c *Core) confinedWait(j *job) time.Duration {
-	work, rate := 0.0, 0.0
-	rank := c.rank(j)
-	for _, other := range c.jobOrder {
-		if other.answered || other == j || !other.isConfined() || other.waiting == 0 {
-			continue
-		}
-		if r := c.rank(other); r < rank || r == rank && other.received <= j.received {
-			work += other.work(other.waiting)
-		}
-	}
+	rate := 0.0
 	for _, a := range c.agentList {
 		if c.eligible(a, j, false) {
-			rate += confinedShare * float64(a.endpoint.Capacity.MilliCPU) / a.slowness()
+			rate += confinedShare * a.weightedCapacity()
 		}
 	}
-	return duration(work / max(rate, minStartRateMilliCPU))
+	return duration(c.workBefore(j, true) / max(rate, minStartRateMilliCPU))
 }
 
 // confinedDelay returns how much longer a task of a confined job runs on the fastest
