Crashes of other causes count fully in the blame

Cause: the rate of crashes of other causes was divided by the range of the logarithms of the possible ages (8), while the density of a job's age is per second and holds that factor already. Two crashes under a task counted 64 times as much against it as they prove. The division had hidden in the floor of the rate, which stays what it was in effect (0.0025 a second); the observed rate now counts as observed. Crashes that were simultaneous are weighted as events of their own and no longer raise the rate of single ones, which the division had made small.

TestTwoCrashesByChanceFailNoJob failed before (given up with blame 1.00).

--- a/pool/scheduler/blame.go
+++ b/pool/scheduler/blame.go
@@ -18,8 +18,8 @@
 	// minOtherCauseRate is the least rate, in crashes a second, at which an endpoint is
 	// assumed to crash for causes that have nothing to do with runs. Before crashes have
 	// been observed for long, the rate is that of assumedCrashes in assumedTime.
-	minOtherCauseRate = 0.02
-	assumedCrashes    = 0.2
+	minOtherCauseRate = 0.0025
+	assumedCrashes    = 0.025
 	assumedTime       = 10 * time.Second
 	// minCrashAge is the age below which runs are suspected alike.
 	minCrashAge = 5 * time.Millisecond
@@ -149,7 +149,7 @@
 
 // assess divides the blame for a crash.
 func (c *Core) assess(k *crashRecord) {
-	other := k.otherCauses * c.otherCauseRate(k) / crashAgeRange
+	other := k.otherCauses * c.otherCauseRate(k)
 	total := other
 	for _, cj := range k.jobs {
 		total += cj.odds()
@@ -169,13 +169,14 @@
 }
 
 // otherCauseRate returns the rate, in crashes a second, at which an endpoint crashes for
-// causes that have nothing to do with runs: from the other crashes, as far as no job is
-// blamed for them, and the time for which this entry's agents have been observed.
+// causes that have nothing to do with runs: from the other crashes that were not
+// simultaneous, as far as no job is blamed for them, and the time for which this entry's
+// agents have been observed.
 func (c *Core) otherCauseRate(k *crashRecord) float64 {
 	crashes := assumedCrashes
 	for _, other := range c.crashes.All() {
-		if other != k && other.ownAgent {
-			crashes += other.unexplained / other.size
+		if other != k && other.ownAgent && other.size == 1 {
+			crashes += other.unexplained
 		}
 	}
 	observed := time.Duration(len(c.agentList)) * min(c.now-c.startedAt, crashMemory)
--- a/pool/scheduler/blame_test.go
+++ b/pool/scheduler/blame_test.go
@@ -183,3 +183,27 @@
 		t.Errorf("given up with blame %.2f", s.blame)
 	}
 }
+
+// TestTwoCrashesByChanceFailNoJob guards against a sound job that is answered as failed
+// because two endpoints crashed under one of its tasks, after some 500 ms each: other
+// causes are as likely (soak, seed 1 of CI).
+func TestTwoCrashesByChanceFailNoJob(t *testing.T) {
+	sim := newSimulation(t, 4, 64000)
+	sim.load(3*time.Second, map[jobKind]float64{label: 10})
+	for i := range 2 {
+		unlucky := under("unlucky", 0, label.queue, 500*time.Millisecond)
+		unlucky.Run.Number = int64(i + 1)
+		neighbours := []string{fmt.Sprint("a-", i), fmt.Sprint("b-", i), fmt.Sprint("c-", i)}
+		runs := []message.CrashedRun{unlucky}
+		for n, id := range neighbours {
+			runs = append(runs, under(id, 0, label.queue, time.Duration(100+150*n)*time.Millisecond))
+		}
+		sim.core.recordCrashes([]message.EndpointCrash{endpointCrash(fmt.Sprint("endpoint-", i), runs...)}, true)
+		sim.advanceFor(500 * time.Millisecond)
+		sim.apply(JobsCompletedElsewhere{IDs: neighbours})
+		sim.advanceFor(500 * time.Millisecond)
+	}
+	if s := sim.core.suspects.Get("unlucky"); s.givenUp {
+		t.Errorf("given up with blame %.2f", s.blame)
+	}
+}
