Tasks that complete are cleared of the crashes under their earlier runs

A task that completes is cleared of earlier crashes now. A crash to which a run is added counts once in the metrics.

--- a/message/crash.go
+++ b/message/crash.go
@@ -22,6 +22,9 @@
 	// Unconfirmed is set if the endpoint was never seen to have the run: it may have
 	// crashed before the start arrived.
 	Unconfirmed bool `cbor:"4,keyasint,omitempty"`
+	// Completed is set if the task has completed since, in another run. Agents leave
+	// it out.
+	Completed bool `cbor:"5,keyasint,omitempty"`
 }
 
 // CrashNotice tells other entries of crashes, so that what is known of a job outlives
--- a/pool/scheduler/blame.go
+++ b/pool/scheduler/blame.go
@@ -186,11 +186,15 @@
 // odds returns the weight of a job as the cause of a crash.
 func (cj *crashedJob) odds() float64 {
 	const highest = 0.999
+	age, ok := cj.suspectedAge()
+	if !ok {
+		return 0
+	}
 	prior := min(cj.prior, highest)
 	if cj.convicted {
 		prior = highest
 	}
-	return prior / (1 - prior) * cj.queue.crashAges.density(cj.age)
+	return prior / (1 - prior) * cj.queue.crashAges.density(age)
 }
 
 // crashAges is what is known of the time after which a queue's deadly runs crash their
@@ -241,8 +245,8 @@
 		k := c.unlearned[0]
 		c.unlearned = c.unlearned[1:]
 		for _, cj := range k.jobs {
-			if k.size == 1 && cj.blame >= strongBlame {
-				cj.queue.crashAges.learn(cj.age)
+			if age, ok := cj.suspectedAge(); ok && k.size == 1 && cj.blame >= strongBlame {
+				cj.queue.crashAges.learn(age)
 			}
 		}
 	}
--- a/pool/scheduler/blame_test.go
+++ b/pool/scheduler/blame_test.go
@@ -8,6 +8,7 @@
 
 	"marjoramlug.example/marjoramlug/message"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
 
@@ -207,3 +208,42 @@
 		t.Errorf("given up with blame %.2f", s.blame)
 	}
 }
+
+// TestCompletedTaskIsNotBlamed guards against a sound job that is answered as failed
+// because it stays blamed for the crash under a task that has completed since, while
+// another of its tasks still runs (soak, seed 1 of CI).
+func TestCompletedTaskIsNotBlamed(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 4, 6200)
+	j := sim.submitExactly(jobKind{queue: "two", tasks: 2}, 300*time.Millisecond, 300*time.Millisecond)
+	for _, a := range sim.agents {
+		for ref, run := range a.running {
+			if ref.Task == 1 {
+				run.doneAt += 300 * time.Millisecond
+			}
+		}
+	}
+	sim.advanceFor(100 * time.Millisecond)
+	sim.crash(sim.agentOf(j))
+	blame := func() float64 { return sim.core.suspects.Get(j.ID).blame }
+	is.True(blame() > strongBlame) // no other job was there
+	later := newSimulation(t, 4, 6200)
+	later.apply(CrashesShared{Notice: sim.core.RecentCrashes()})
+	blameElsewhere := func() float64 { return later.core.suspects.Get(j.ID).blame }
+	is.True(blameElsewhere() > strongBlame)
+	for sim.core.jobs[j.ID].done == 0 {
+		sim.advance()
+	}
+	is.True(j.answer == nil)
+	is.Equal(blame(), 0.0)
+	is.Equal(sim.core.Counters().Crashes, int64(1))
+
+	is.True(len(sim.shared) > 0)
+	for _, notice := range sim.shared {
+		later.apply(CrashesShared{Notice: notice})
+	}
+	is.Equal(blameElsewhere(), 0.0)
+	last := newSimulation(t, 4, 6200)
+	last.apply(CrashesShared{Notice: sim.core.RecentCrashes()})
+	is.Equal(last.core.suspects.Get(j.ID).blame, 0.0)
+}
--- a/pool/scheduler/crash.go
+++ b/pool/scheduler/crash.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -57,8 +56,6 @@
 	queue   *queue
 	// runs holds the run of each of its tasks.
 	runs kernel.OrderedMap[int, crashedRun]
-	// age is the time from the start of its youngest run to the crash.
-	age time.Duration
 	// known is the blame for earlier crashes that applies to the tasks under this one.
 	// prior is the probability that the job is deadly, as assessed before the crash; blame
 	// the probability that it has caused this crash.
@@ -72,11 +69,22 @@
 }
 
 // crashedRun is a run under a crash, which the endpoint is not known to have had if
-// unconfirmed is set.
+// unconfirmed is set. With completed its task has completed since.
 type crashedRun struct {
-	number      int64
-	age         time.Duration
-	unconfirmed bool
+	number                 int64
+	age                    time.Duration
+	unconfirmed, completed bool
+}
+
+// suspectedAge returns the time from the start of the job's youngest run to the crash,
+// without tasks that have completed since; ok is false if all have.
+func (cj *crashedJob) suspectedAge() (age time.Duration, ok bool) {
+	for _, r := range cj.runs.All() {
+		if !r.completed && (!ok || r.age < age) {
+			age, ok = r.age, true
+		}
+	}
+	return age, ok
 }
 
 // suspect is a job under which endpoints have crashed.
@@ -84,8 +92,9 @@
 	job string
 	// blame is the probability that the job crashes endpoints.
 	blame float64
-	// crashes counts the crashes under each task, confirmed those under runs that the
-	// endpoint certainly had, starts the starts of a task after budgetCrashes crashes.
+	// crashes counts the crashes under each task that has not completed, confirmed those
+	// under runs that the endpoint certainly had, starts the starts of a task after
+	// budgetCrashes crashes.
 	crashes, confirmed, starts map[int]int
 	records                    []*crashRecord
 	lastCrash                  time.Duration
@@ -109,7 +118,7 @@
 func (s *suspect) taskBlame(task int) float64 {
 	for _, k := range slices.Backward(s.records) {
 		for _, cj := range k.jobs {
-			if cj.suspect == s && cj.runs.Has(task) {
+			if cj.suspect == s && cj.runs.Has(task) && !cj.runs.Get(task).completed {
 				return cj.blame
 			}
 		}
@@ -139,21 +148,6 @@
 	return n
 }
 
-// recordCrashes takes in crashes that an agent or another entry has reported. Those
-// of an agent count against the queues of the runs, fully if they are this entry's own,
-// and are shared with the other entries.
-func (c *Core) recordCrashes(crashes []message.EndpointCrash, fromAgent bool) {
-	var added []message.EndpointCrash
-	for i := range crashes {
-		if c.recordCrash(&crashes[i], fromAgent) {
-			added = append(added, crashes[i])
-		}
-	}
-	if len(added) > 0 && fromAgent {
-		c.emit(ShareCrashes{Notice: &message.CrashNotice{Crashes: added, Blame: c.blameOfQueues()}})
-	}
-}
-
 // recordCrash takes in a crash and reports whether it has runs that were not known.
 func (c *Core) recordCrash(crash *message.EndpointCrash, fromAgent bool) bool {
 	id := crashID{crash.Endpoint, crash.Incarnation}
@@ -171,30 +165,32 @@
 	if !changed {
 		return false
 	}
-	c.counters.Crashes++
 	c.assessWithSimultaneous(k)
 	c.judge(k)
 	if !known {
+		c.counters.Crashes++
 		c.unlearned = append(c.unlearned, k)
 	}
 	return true
 }
 
-// addCrashedRun adds a run to a crash and reports whether it was not known.
+// addCrashedRun adds a run to a crash and reports whether it or its completion was not
+// known.
 func (c *Core) addCrashedRun(k *crashRecord, crash *message.EndpointCrash, r message.CrashedRun, fromAgent bool) bool {
 	age := max(time.Duration(r.AgeMillis)*time.Millisecond, 0)
 	at := slices.IndexFunc(k.jobs, func(cj *crashedJob) bool { return cj.suspect.job == r.Run.Job })
 	if at < 0 {
 		k.jobs = append(k.jobs, c.newCrashedJob(k, crash, r, fromAgent))
 		at = len(k.jobs) - 1
-		k.jobs[at].age = age
 	}
 	cj := k.jobs[at]
 	if cj.runs.Has(r.Run.Task) {
-		return false
+		return r.Completed && cj.complete(r.Run.Task)
 	}
 	cj.runs.Set(r.Run.Task, crashedRun{number: r.Run.Number, age: age, unconfirmed: r.Unconfirmed})
-	cj.age = min(cj.age, age)
+	if r.Completed {
+		return cj.complete(r.Run.Task)
+	}
 	cj.suspect.crashes[r.Run.Task]++
 	if !r.Unconfirmed {
 		cj.suspect.confirmed[r.Run.Task]++
@@ -202,6 +198,20 @@
 	return true
 }
 
+// complete records that a task under the crash has completed since, which clears it, and
+// reports whether that was not known.
+func (cj *crashedJob) complete(task int) bool {
+	r := cj.runs.Get(task)
+	if r.completed {
+		return false
+	}
+	r.completed = true
+	cj.runs.Set(task, r)
+	delete(cj.suspect.crashes, task)
+	delete(cj.suspect.confirmed, task)
+	return true
+}
+
 func (c *Core) newCrashedJob(k *crashRecord, crash *message.EndpointCrash, r message.CrashedRun, fromAgent bool) *crashedJob {
 	j := c.jobs[r.Run.Job]
 	cj := &crashedJob{queue: c.queueOf(r.Queue)}
@@ -304,6 +314,26 @@
 	}
 }
 
+// clearTask takes in that a task of a job has completed. The blame for crashes under it
+// falls to the others, at other entries too.
+func (c *Core) clearTask(s *suspect, task int) {
+	var cleared []message.EndpointCrash
+	for _, k := range s.records {
+		at := slices.IndexFunc(k.jobs, func(cj *crashedJob) bool { return cj.suspect == s })
+		if at < 0 || !k.jobs[at].runs.Has(task) || !k.jobs[at].complete(task) {
+			continue
+		}
+		crash := c.crashMessage(k)
+		crash.Runs = []message.CrashedRun{k.jobs[at].runMessage(task)}
+		cleared = append(cleared, crash)
+		c.assess(k)
+		c.judge(k)
+	}
+	if len(cleared) > 0 {
+		c.emit(ShareCrashes{Notice: &message.CrashNotice{Crashes: cleared}})
+	}
+}
+
 // forgetCrashes removes what is older than crashMemory, once a second.
 func (c *Core) forgetCrashes() {
 	if c.now-c.crashesForgotten < time.Second {
@@ -322,48 +352,6 @@
 	}
 }
 
-// RecentCrashes returns what an entry that has just started needs to know.
-func (c *Core) RecentCrashes() *message.CrashNotice {
-	notice := &message.CrashNotice{Blame: c.blameOfQueues()}
-	for id, k := range c.crashes.All() {
-		crash := message.EndpointCrash{
-			Endpoint: id.endpoint, Incarnation: id.incarnation, AgoMillis: (c.now - k.at).Milliseconds(),
-		}
-		for _, cj := range k.jobs {
-			for task, r := range cj.runs.All() {
-				crash.Runs = append(crash.Runs, message.CrashedRun{
-					Run: message.RunRef{Job: cj.suspect.job, Task: task, Number: r.number}, Unconfirmed: r.unconfirmed,
-					Queue: cj.queue.name, AgeMillis: r.age.Milliseconds(),
-				})
-			}
-		}
-		notice.Crashes = append(notice.Crashes, crash)
-	}
-	return notice
-}
-
-// blameOfQueues returns the blame of the queues that are blamed for crashes.
-func (c *Core) blameOfQueues() map[string]float64 {
-	blame := map[string]float64{}
-	for _, q := range c.queueList {
-		if q.blame >= minQueueBlame {
-			blame[q.name] = q.blame
-		}
-	}
-	return blame
-}
-
-// takeNotice takes in what another entry knows of crashes.
-func (c *Core) takeNotice(notice *message.CrashNotice) {
-	c.recordCrashes(notice.Crashes, false)
-	for name, blame := range notice.Blame {
-		if !math.IsNaN(blame) {
-			q := c.queueOf(name)
-			q.blame = max(q.blame, min(blame, maxQueueBlame))
-		}
-	}
-}
-
 // blameOf returns the probability that a job crashes its endpoints, as far as endpoints
 // have crashed under it.
 func (j *job) blameOf() float64 {
--- a/pool/scheduler/run.go
+++ b/pool/scheduler/run.go
@@ -108,8 +108,11 @@
 	j.done++
 	r.agent.recordSuccess()
 	c.learnSpeed(r, time.Duration(end.Millis)*time.Millisecond)
-	if j.done == len(j.tasks) {
+	switch {
+	case j.done == len(j.tasks):
 		c.finish(j, JobCompleted, "")
+	case j.suspect != nil:
+		c.clearTask(j.suspect, r.task)
 	}
 }
 
--- a/pool/scheduler/simulation_test.go
+++ b/pool/scheduler/simulation_test.go
@@ -32,6 +32,8 @@
 	hangs map[string]bool
 	// pauses counts the pauses of agents.
 	pauses int
+	// shared holds the notices of crashes to other entries.
+	shared []*message.CrashNotice
 }
 
 type testAgent struct {
@@ -99,6 +101,8 @@
 			}
 			answer := action.Answer
 			j.answer, j.answered = &answer, sim.now
+		case ShareCrashes:
+			sim.shared = append(sim.shared, action.Notice)
 		case Note:
 			if action.What == "agent paused" {
 				sim.pauses++
