emulator: entries tell each other which jobs have completed

Emulated entries did not: a neighbour that another entry had run again stayed blamed for its crash, and an entry that started knew no crashes. Both are told as in node.Entry now, completed jobs every 100 ms.

--- a/emulator/nodes.go
+++ b/emulator/nodes.go
@@ -53,12 +53,20 @@
 	planned   bool
 	busyUntil time.Duration
 	busy      time.Duration
+	// unreported lists the completed jobs of which the other entries have not been told.
+	unreported []string
 }
 
 func (n *entryNode) boot() {
 	n.life++
 	n.alive, n.inbox, n.planned = true, nil, false
 	n.core = scheduler.New(node.SchedulerOptions(entrySettings()))
+	n.unreported = nil
+	for _, other := range n.sim.entries {
+		if other != n && other.alive {
+			n.deliverLater(scheduler.CrashesShared{Notice: other.core.RecentCrashes()})
+		}
+	}
 }
 
 func (n *entryNode) deliver(ev scheduler.Event) {
@@ -114,14 +122,44 @@
 	case scheduler.Answer:
 		n.sim.answered(action)
 	case scheduler.ShareCrashes:
-		for _, other := range n.sim.entries {
-			if other != n {
-				n.sim.clock.after(n.sim.delay(), func() { other.deliver(scheduler.CrashesShared(action)) })
-			}
+		n.broadcast(scheduler.CrashesShared(action))
+	case scheduler.JobEnded:
+		if action.Outcome == scheduler.JobCompleted {
+			n.jobCompleted(action.Job.ID)
+		}
+	}
+}
+
+// deliverLater delivers an event after the delay of a message.
+func (n *entryNode) deliverLater(ev scheduler.Event) {
+	n.sim.clock.after(n.sim.delay(), func() { n.deliver(ev) })
+}
+
+// broadcast sends an event to all other entries.
+func (n *entryNode) broadcast(ev scheduler.Event) {
+	for _, other := range n.sim.entries {
+		if other != n {
+			other.deliverLater(ev)
 		}
 	}
 }
 
+// jobCompleted tells the other entries of a job, together with those that complete
+// within the interval.
+func (n *entryNode) jobCompleted(id string) {
+	n.unreported = append(n.unreported, id)
+	if len(n.unreported) > 1 {
+		return
+	}
+	life := n.life
+	n.sim.clock.after(node.CompletedInterval, func() {
+		if n.life == life && n.alive {
+			n.broadcast(scheduler.JobsCompletedElsewhere{IDs: n.unreported})
+			n.unreported = nil
+		}
+	})
+}
+
 // kill ends the process; the connections of its callers break.
 func (n *entryNode) kill(down time.Duration) {
 	if !n.alive {
--- a/pool/node/peers.go
+++ b/pool/node/peers.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// completedInterval is the interval at which an entry reports its completed jobs to
+	// CompletedInterval is the interval at which an entry reports its completed jobs to
 	// the other entries. Late duplicates of a submission arrive 1 s or more later.
-	completedInterval = 100 * time.Millisecond
+	CompletedInterval = 100 * time.Millisecond
 	// searchTimeout bounds the search for a job at other entries.
 	searchTimeout = 500 * time.Millisecond
 	// maxCompletedBatch is the maximum number of jobs in one message; further jobs
@@ -210,7 +210,7 @@
 }
 
 func (p *peers) broadcastCompleted() {
-	for kernel.Sleep(p.entry.ctx, completedInterval) {
+	for kernel.Sleep(p.entry.ctx, CompletedInterval) {
 		p.mu.Lock()
 		unsentCompleted := p.unsentCompleted
 		p.unsentCompleted = nil
