Entries count the crashes and completed jobs of blamed queues together

Cause: each entry learned alone. It counted its own agents' crashes, those of other entries' jobs by half, and took the largest blame of any entry when a crash was shared; against that it counted only its own completed jobs. With 35 entries each had to see crashes of its own first, and several dozen completed jobs of its own afterwards, of which confined queues have few.

Now each entry counts each crash of a queue once, whoever reported it, less if it becomes known late, and each completed job of a blamed queue: they come with the message that lists completed jobs (CompletedJobs.BlamedQueues, only while crashes are blamed on the queue; earlier builds ignore it). The largest blame is passed on only to entries that connect. The window is 48 jobs of all entries in place of 32 of one.

TestEntriesLearnOfDeadlyQueueTogether failed before (blame 0.01 to 0.45 after four crashes).

TestSoundNeighbourOfADeadlyQueueRunsAgain starts its neighbour 5 ms before the deadly job in place of 8: the longer window halves the risk of a single job, so that a neighbour 8 ms older is no suspect (blame 0.09), and the test is about one that is. Its bounds are unchanged.

--- a/emulator/nodes.go
+++ b/emulator/nodes.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"marjoramlug.example/marjoramlug/message"
 	"marjoramlug.example/marjoramlug/pool/executor"
 	"marjoramlug.example/marjoramlug/pool/node"
 	"marjoramlug.example/marjoramlug/pool/scheduler"
@@ -54,14 +55,14 @@
 	busyUntil time.Duration
 	busy      time.Duration
 	// unreported lists the completed jobs of which the other entries have not been told.
-	unreported []string
+	unreported message.CompletedJobs
 }
 
 func (n *entryNode) boot() {
 	n.life++
 	n.alive, n.inbox, n.planned = true, nil, false
 	n.core = scheduler.New(node.SchedulerOptions(entrySettings()))
-	n.unreported = nil
+	n.unreported = message.CompletedJobs{}
 	for _, other := range n.sim.entries {
 		if other != n && other.alive {
 			n.deliverLater(scheduler.CrashesShared{Notice: other.core.RecentCrashes()})
@@ -125,7 +126,7 @@
 		n.broadcast(scheduler.CrashesShared(action))
 	case scheduler.JobEnded:
 		if action.Outcome == scheduler.JobCompleted {
-			n.jobCompleted(action.Job.ID)
+			n.jobCompleted(action)
 		}
 	}
 }
@@ -146,16 +147,16 @@
 
 // jobCompleted tells the other entries of a job, together with those that complete
 // within the interval.
-func (n *entryNode) jobCompleted(id string) {
-	n.unreported = append(n.unreported, id)
-	if len(n.unreported) > 1 {
+func (n *entryNode) jobCompleted(j scheduler.JobEnded) {
+	node.AddCompleted(&n.unreported, j)
+	if len(n.unreported.Jobs) > 1 {
 		return
 	}
 	life := n.life
 	n.sim.clock.after(node.CompletedInterval, func() {
 		if n.life == life && n.alive {
-			n.broadcast(scheduler.JobsCompletedElsewhere{IDs: n.unreported})
-			n.unreported = nil
+			n.broadcast(node.CompletedEvent(&n.unreported))
+			n.unreported = message.CompletedJobs{}
 		}
 	})
 }
--- a/message/run.go
+++ b/message/run.go
@@ -202,6 +202,9 @@
 // copy of a submission is answered and not run again.
 type CompletedJobs struct {
 	Jobs []string `cbor:"1,keyasint"`
+	// BlamedQueues is, by queue, the number of these jobs whose queue the sender blames
+	// for crashes of endpoints.
+	BlamedQueues map[string]int `cbor:"2,keyasint,omitempty"`
 }
 
 // JobSearch queries another entry for a pooled job of which the sender has no
--- a/pool/node/entry.go
+++ b/pool/node/entry.go
@@ -314,7 +314,7 @@
 
 func (e *Entry) jobEnded(j scheduler.JobEnded) {
 	if j.Outcome == scheduler.JobCompleted {
-		e.peers.jobCompleted(j.Job.ID)
+		e.peers.jobCompleted(j)
 	}
 	outcome := j.Outcome.String()
 	e.opts.Metrics.Add("jobs."+outcome, 1)
--- a/pool/node/peers.go
+++ b/pool/node/peers.go
@@ -35,7 +35,7 @@
 	// reported by the other entries.
 	waitingJobs map[string]map[string]int
 	// unsentCompleted lists the completed jobs that have not been reported yet.
-	unsentCompleted []string
+	unsentCompleted message.CompletedJobs
 	request         uint64
 	// pending holds the channel for the answers to each open search.
 	pending map[uint64]chan *message.JobSearchReply
@@ -91,7 +91,7 @@
 func (p *peers) received(c transport.Conn, m message.Message) {
 	switch m := m.(type) {
 	case *message.CompletedJobs:
-		p.entry.post(entryEvent{event: scheduler.JobsCompletedElsewhere{IDs: m.Jobs}})
+		p.entry.post(entryEvent{event: CompletedEvent(m)})
 	case *message.EntryState:
 		p.mu.Lock()
 		p.waitingJobs[c.Peer().Name] = m.Waiting
@@ -184,14 +184,31 @@
 	return n
 }
 
-func (p *peers) jobCompleted(id string) {
+func (p *peers) jobCompleted(j scheduler.JobEnded) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.unsentCompleted) < maxCompletedBatch {
-		p.unsentCompleted = append(p.unsentCompleted, id)
+	if len(p.unsentCompleted.Jobs) < maxCompletedBatch {
+		AddCompleted(&p.unsentCompleted, j)
 	}
 }
 
+// AddCompleted adds a completed job to a message to other entries.
+func AddCompleted(m *message.CompletedJobs, j scheduler.JobEnded) {
+	m.Jobs = append(m.Jobs, j.Job.ID)
+	if !j.QueueBlamed {
+		return
+	}
+	if m.BlamedQueues == nil {
+		m.BlamedQueues = map[string]int{}
+	}
+	m.BlamedQueues[j.Job.Queue]++
+}
+
+// CompletedEvent returns the event for a message of another entry.
+func CompletedEvent(m *message.CompletedJobs) scheduler.JobsCompletedElsewhere {
+	return scheduler.JobsCompletedElsewhere{IDs: m.Jobs, BlamedQueues: m.BlamedQueues}
+}
+
 func (p *peers) broadcastState(waiting map[string]int) {
 	p.broadcast(&message.EntryState{Waiting: waiting})
 }
@@ -213,10 +230,10 @@
 	for kernel.Sleep(p.entry.ctx, CompletedInterval) {
 		p.mu.Lock()
 		unsentCompleted := p.unsentCompleted
-		p.unsentCompleted = nil
+		p.unsentCompleted = message.CompletedJobs{}
 		p.mu.Unlock()
-		if len(unsentCompleted) > 0 {
-			p.broadcast(&message.CompletedJobs{Jobs: unsentCompleted})
+		if len(unsentCompleted.Jobs) > 0 {
+			p.broadcast(&unsentCompleted)
 		}
 	}
 }
--- a/pool/scheduler/confinement.go
+++ b/pool/scheduler/confinement.go
@@ -14,13 +14,16 @@
 
 const (
 	// queueBlameWeight is the weight of one completed job in the moving average of the
-	// crashes per job of a queue; about the last 32 jobs count.
-	queueBlameWeight = 1.0 / 32
+	// crashes per job of a queue; about the last 48 jobs of all entries count.
+	queueBlameWeight = 1.0 / 48
 	// priorCrashes in priorJobs is the assumed risk of a queue of which nothing is known.
 	// maxSurvived bounds the completed jobs that speak for a queue.
 	priorCrashes = 0.1
 	priorJobs    = 20
 	maxSurvived  = 1000
+	// leastBlame is the blame below which completed jobs are not shared with other
+	// entries.
+	leastBlame = 0.05
 	// minQueueBlame is the blame from which a queue can count as deadly: more than one
 	// crash, which proves nothing of a kind of job.
 	minQueueBlame = 1.2
@@ -46,13 +49,27 @@
 // seconds.
 func (q *queue) jobSurvived(work float64) {
 	q.survived = min(q.survived+1, maxSurvived)
-	q.blame -= queueBlameWeight * q.blame
+	q.reduceBlame(1)
 	if q.meanWork == 0 {
 		q.meanWork = work
 	}
 	q.meanWork += queueBlameWeight * (work - q.meanWork)
 }
 
+// reduceBlame takes in that a number of jobs have completed.
+func (q *queue) reduceBlame(jobs int) {
+	q.blame *= math.Pow(1-queueBlameWeight, float64(max(jobs, 0)))
+}
+
+// jobsSurvivedElsewhere takes in the jobs that another entry has completed, by queue.
+func (c *Core) jobsSurvivedElsewhere(jobs map[string]int) {
+	for name, n := range jobs {
+		if q := c.queues[name]; q != nil {
+			q.reduceBlame(n)
+		}
+	}
+}
+
 // risk returns the probability that a job of the queue crashes its endpoint: at first a
 // tenth of a crash in the jobs that have completed, so that a queue is not suspected more
 // than another for the number of its jobs.
--- a/pool/scheduler/confinement_test.go
+++ b/pool/scheduler/confinement_test.go
@@ -150,7 +150,7 @@
 	is.True(s.count > 1)
 	sound := sim.submitExactly(small, small.runTime, small.runTime)
 	at := sim.agentOf(sound)
-	sim.advanceFor(8 * time.Millisecond)
+	sim.advanceFor(5 * time.Millisecond)
 	var deadly *testJob
 	for range 8 { // until one runs beside it
 		if deadly = sim.submitExactly(small, small.runTime, small.runTime); sim.agentOf(deadly) == at {
@@ -336,3 +336,38 @@
 		}
 	}
 }
+
+// TestEntriesLearnOfDeadlyQueueTogether guards against a large fleet in which each entry
+// has to see several crashes of its own agents before it confines a deadly queue, and
+// several dozen completed jobs of its own before it releases it: here each entry sees
+// one crash and completes no job.
+func TestEntriesLearnOfDeadlyQueueTogether(t *testing.T) {
+	const entries = 4
+	var sims []*simulation
+	for range entries {
+		sim := newSimulation(t, 4, 64000)
+		sim.load(time.Second, map[jobKind]float64{check: 10, label: 30})
+		sims = append(sims, sim)
+	}
+	for i, sim := range sims {
+		sim.report(0, &message.RunReport{Crashes: []message.EndpointCrash{endpointCrash(fmt.Sprint("endpoint-", i),
+			under(fmt.Sprint("deadly-", i), 0, check.queue, 12*time.Millisecond))}})
+		for _, other := range sims {
+			other.now += 200 * time.Millisecond
+			if other != sim {
+				other.apply(CrashesShared{Notice: sim.shared[0]})
+			}
+		}
+	}
+	completed := JobsCompletedElsewhere{BlamedQueues: map[string]int{check.queue: 100}}
+	for i, sim := range sims {
+		q := sim.core.queues[check.queue]
+		if !q.deadly {
+			t.Errorf("entry %d does not confine the queue, blame %.2f", i, q.blame)
+		}
+		sim.apply(completed)
+		if q.deadly {
+			t.Errorf("entry %d does not release the queue, blame %.2f", i, q.blame)
+		}
+	}
+}
--- a/pool/scheduler/core.go
+++ b/pool/scheduler/core.go
@@ -192,6 +192,7 @@
 			c.rememberCompleted(id)
 			c.acquit(id)
 		}
+		c.jobsSurvivedElsewhere(ev.BlamedQueues)
 	case CrashesShared:
 		c.takeNotice(ev.Notice)
 	case AgentConnected:
--- a/pool/scheduler/crash.go
+++ b/pool/scheduler/crash.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -12,6 +13,9 @@
 	// crashMemory is how long crashes and suspects are remembered: longer than callers
 	// submit a job again.
 	crashMemory = time.Minute
+	// countedAge is the age at which a crash counts against its queues with a factor of
+	// 1/e when it becomes known. What has completed since is not known.
+	countedAge = 3 * time.Second
 	// suspectBlame is the blame from which a job's next run is isolated.
 	suspectBlame = 0.1
 	// otherTaskShare is the part of a job's blame that applies to its other tasks: where
@@ -63,8 +67,9 @@
 	// acquitted is set when the job has completed, convicted when it has been given up
 	// because endpoints crash under it.
 	acquitted, convicted bool
-	// weight is the factor with which blame counts against the queue, counted the amount
-	// that the queue's blame holds for this crash.
+	// weight is the factor with which blame counts against the queue, less for a crash
+	// that becomes known late, and counted the amount that the queue's blame holds for
+	// this crash.
 	weight, counted float64
 }
 
@@ -160,7 +165,7 @@
 	k.ownAgent = k.ownAgent || fromAgent
 	changed := false
 	for _, r := range crash.Runs {
-		changed = c.addCrashedRun(k, crash, r, fromAgent) || changed
+		changed = c.addCrashedRun(k, crash, r) || changed
 	}
 	if !changed {
 		return false
@@ -176,11 +181,11 @@
 
 // addCrashedRun adds a run to a crash and reports whether it or its completion was not
 // known.
-func (c *Core) addCrashedRun(k *crashRecord, crash *message.EndpointCrash, r message.CrashedRun, fromAgent bool) bool {
+func (c *Core) addCrashedRun(k *crashRecord, crash *message.EndpointCrash, r message.CrashedRun) bool {
 	age := max(time.Duration(r.AgeMillis)*time.Millisecond, 0)
 	at := slices.IndexFunc(k.jobs, func(cj *crashedJob) bool { return cj.suspect.job == r.Run.Job })
 	if at < 0 {
-		k.jobs = append(k.jobs, c.newCrashedJob(k, crash, r, fromAgent))
+		k.jobs = append(k.jobs, c.newCrashedJob(k, crash, r))
 		at = len(k.jobs) - 1
 	}
 	cj := k.jobs[at]
@@ -212,16 +217,9 @@
 	return true
 }
 
-func (c *Core) newCrashedJob(k *crashRecord, crash *message.EndpointCrash, r message.CrashedRun, fromAgent bool) *crashedJob {
+func (c *Core) newCrashedJob(k *crashRecord, crash *message.EndpointCrash, r message.CrashedRun) *crashedJob {
 	j := c.jobs[r.Run.Job]
-	cj := &crashedJob{queue: c.queueOf(r.Queue)}
-	switch {
-	case fromAgent && j != nil:
-		cj.weight = 1
-	case fromAgent:
-		// Other entries' jobs are not counted when they complete.
-		cj.weight = 0.5
-	}
+	cj := &crashedJob{queue: c.queueOf(r.Queue), weight: math.Exp(-(c.now - k.at).Seconds() / countedAge.Seconds())}
 	s := c.suspects.Get(r.Run.Job)
 	if s == nil {
 		s = &suspect{job: r.Run.Job, crashes: map[int]int{}, confirmed: map[int]int{}, starts: map[int]int{}}
--- a/pool/scheduler/crash_notice.go
+++ b/pool/scheduler/crash_notice.go
@@ -9,9 +9,9 @@
 // Entries tell each other of crashes, so that what is known of a job outlives the
 // entry that had it.
 
-// recordCrashes takes in crashes that an agent or another entry has reported. Those
-// of an agent count against the queues of the runs, fully if they are this entry's own,
-// and are shared with the other entries.
+// recordCrashes takes in crashes that an agent or another entry has reported. Those of
+// an agent are shared with the other entries, so that each entry counts all crashes and
+// all completed jobs of a queue that is blamed.
 func (c *Core) recordCrashes(crashes []message.EndpointCrash, fromAgent bool) {
 	var added []message.EndpointCrash
 	for i := range crashes {
@@ -20,7 +20,7 @@
 		}
 	}
 	if len(added) > 0 && fromAgent {
-		c.emit(ShareCrashes{Notice: &message.CrashNotice{Crashes: added, Blame: c.blameOfQueues()}})
+		c.emit(ShareCrashes{Notice: &message.CrashNotice{Crashes: added}})
 	}
 }
 
--- a/pool/scheduler/event.go
+++ b/pool/scheduler/event.go
@@ -61,8 +61,12 @@
 // CancelRequested is sent when a caller cancels a job.
 type CancelRequested struct{ ID string }
 
-// JobsCompletedElsewhere lists jobs that other entries have completed.
-type JobsCompletedElsewhere struct{ IDs []string }
+// JobsCompletedElsewhere lists jobs that another entry has completed, and counts them by
+// queue where that entry blames the queue for crashes.
+type JobsCompletedElsewhere struct {
+	IDs          []string
+	BlamedQueues map[string]int
+}
 
 // CrashesShared is sent when another entry shares what it knows of crashes.
 type CrashesShared struct{ Notice *message.CrashNotice }
@@ -143,6 +147,8 @@
 	// probability that the job is their cause.
 	Crashes int
 	Blame   float64
+	// QueueBlamed is set if crashes are blamed on the job's queue.
+	QueueBlamed bool
 	// WaitingTasks is the number of waiting tasks of all jobs at that moment.
 	WaitingTasks int
 }
--- a/pool/scheduler/job.go
+++ b/pool/scheduler/job.go
@@ -160,6 +160,7 @@
 		ended.Crashes, ended.Blame = j.suspect.mostCrashes(), j.suspect.blame
 	}
 	if outcome == JobCompleted {
+		ended.QueueBlamed = j.queue.blame >= leastBlame
 		c.rememberCompleted(j.ID)
 		j.queue.jobSurvived(j.work(len(j.tasks)))
 		c.acquit(j.ID)
