Two crashes at the same time rarely have a common cause

Cause: crashes of other causes were taken for 300 times as likely as soon as two endpoints crashed within 50 ms. That fits the loss of a rack of three. For two crashes it is far more than a common cause explains: the rate of such losses times the density of one more crash in the window. The blame for the first crash of a job vanished, its second one began from nothing.

The weight now follows from the number of crashes (18 for two, 137 for three, more for more). As it says by itself what a job explains, blame counts fully against the queue and ages are learned from these crashes too.

TestDeadlyTaskBesideAnotherIsGivenUpAfterTwoCrashes failed before (blame 0.65).

--- a/pool/scheduler/blame.go
+++ b/pool/scheduler/blame.go
@@ -27,15 +27,16 @@
 	// simultaneous, reportDelay the usual difference between the delays of two reports.
 	simultaneousCrashes = 50 * time.Millisecond
 	reportDelay         = 2 * time.Millisecond
-	// simultaneousWeight is the largest factor by which another cause is more likely for
-	// simultaneous crashes, sharedJobWeight the factor if a job was on all endpoints.
-	simultaneousWeight = 300.0
-	sharedJobWeight    = 10.0
+	// commonCauseShare is the share of the crashes of other causes that strike several
+	// endpoints at once, sharedJobWeight the largest factor by which another cause is more
+	// likely for simultaneous crashes if a job was on all endpoints.
+	commonCauseShare = 0.04
+	sharedJobWeight  = 10.0
 )
 
 // assessWithSimultaneous divides the blame for a crash and for those that happened at
 // the same time, as when a rack loses power. They are one event: a job is their cause
-// only if it was under all of them, and queues are blamed once.
+// only if it was under all of them, or if its start explains the crash better.
 func (c *Core) assessWithSimultaneous(k *crashRecord) {
 	event := []*crashRecord{k}
 	for _, other := range c.crashes.All() {
@@ -53,7 +54,7 @@
 	}
 	for _, member := range event {
 		member.otherCauses = max(member.otherCauses, otherCauses)
-		member.size = max(member.size, float64(len(event)))
+		member.simultaneous = member.simultaneous || len(event) > 1
 		c.assess(member)
 	}
 }
@@ -81,9 +82,10 @@
 	}
 }
 
-// commonCauseWeight returns the factor by which a common cause is more likely for
-// simultaneous crashes than chance: the more endpoints have crashed in the second before,
-// the more often several do within simultaneousCrashes.
+// commonCauseWeight returns the factor by which a common cause makes each of several
+// simultaneous crashes more likely: once it has struck one endpoint, the others crash
+// within simultaneousCrashes. Chance explains them too if many endpoints have crashed in
+// the second before.
 func (c *Core) commonCauseWeight(event []*crashRecord) float64 {
 	first := slices.MinFunc(event, func(a, b *crashRecord) int { return cmp.Compare(a.at, b.at) }).at
 	before := 0.0
@@ -92,8 +94,11 @@
 			before++
 		}
 	}
-	byChance := before * simultaneousCrashes.Seconds()
-	return min(max(1, math.Pow(byChance, 1-float64(len(event)))), simultaneousWeight)
+	window, n := simultaneousCrashes.Seconds(), float64(len(event))
+	// The geometric mean of the rate of common causes and the densities of the further
+	// crashes, as the weight applies to each crash.
+	common := math.Pow(commonCauseShare*minOtherCauseRate*math.Pow(window, 1-n), 1/n) / minOtherCauseRate
+	return max(1, min(math.Pow(before*window, 1-n), common))
 }
 
 // isSimultaneous reports whether two crashes may have the same cause. They have not if a
@@ -159,7 +164,7 @@
 		blame := cj.odds() / total
 		// What the job was blamed for before does not count against its queue again.
 		excess := func(blame float64) float64 { return max(0, blame-cj.prior) }
-		counted := cj.weight * excess(blame) / k.size
+		counted := cj.weight * excess(blame)
 		cj.queue.addBlame(counted - cj.counted)
 		cj.blame, cj.counted = blame, counted
 	}
@@ -175,7 +180,7 @@
 func (c *Core) otherCauseRate(k *crashRecord) float64 {
 	crashes := assumedCrashes
 	for _, other := range c.crashes.All() {
-		if other != k && other.ownAgent && other.size == 1 {
+		if other != k && other.ownAgent && !other.simultaneous {
 			crashes += other.unexplained
 		}
 	}
@@ -238,14 +243,14 @@
 	k.variance = max(k.variance+crashAgeWeight*(deviation*deviation-k.variance), minVariance)
 }
 
-// learnCrashAges learns from the crashes that are known by now not to be simultaneous
-// with others.
+// learnCrashAges learns from the crashes for which it is known by now whether they were
+// simultaneous with others.
 func (c *Core) learnCrashAges() {
 	for len(c.unlearned) > 0 && c.now-c.unlearned[0].at > simultaneousCrashes {
 		k := c.unlearned[0]
 		c.unlearned = c.unlearned[1:]
 		for _, cj := range k.jobs {
-			if age, ok := cj.suspectedAge(); ok && k.size == 1 && cj.blame >= strongBlame {
+			if age, ok := cj.suspectedAge(); ok && cj.blame >= strongBlame {
 				cj.queue.crashAges.learn(age)
 			}
 		}
--- a/pool/scheduler/blame_test.go
+++ b/pool/scheduler/blame_test.go
@@ -247,3 +247,25 @@
 	last.apply(CrashesShared{Notice: sim.core.RecentCrashes()})
 	is.Equal(last.core.suspects.Get(j.ID).blame, 0.0)
 }
+
+// TestDeadlyTaskBesideAnotherIsGivenUpAfterTwoCrashes guards against a deadly task that
+// crashes a third endpoint because the first one crashed within milliseconds of another,
+// under another deadly job: two crashes need no common cause (emulator, seed 22).
+func TestDeadlyTaskBesideAnotherIsGivenUpAfterTwoCrashes(t *testing.T) {
+	sim := newSimulation(t, 11, 64000)
+	sim.load(2*time.Second, map[jobKind]float64{check: 34, label: 100})
+	restarted := under("first", 0, check.queue, 10*time.Millisecond)
+	restarted.Run.Number = 2
+	for i, r := range []message.CrashedRun{
+		under("first", 0, check.queue, 12*time.Millisecond), under("second", 0, check.queue, 12*time.Millisecond), restarted,
+	} {
+		sim.core.recordCrashes([]message.EndpointCrash{endpointCrash(fmt.Sprint("endpoint-", i), r,
+			under(fmt.Sprint("young-", i), 0, check.queue, 30*time.Millisecond),
+			under(fmt.Sprint("old-", i), 0, label.queue, 150*time.Millisecond))}, true)
+		sim.now += 9 * time.Millisecond
+		sim.apply(Tick{})
+	}
+	if s := sim.core.suspects.Get("first"); !s.givenUp {
+		t.Errorf("not given up, blame %.2f", s.blame)
+	}
+}
--- a/pool/scheduler/crash.go
+++ b/pool/scheduler/crash.go
@@ -45,9 +45,10 @@
 	id   crashID
 	at   time.Duration
 	jobs []*crashedJob
-	// size is the number of endpoints that crashed at the same time; otherCauses
+	// simultaneous is set if another endpoint crashed at the same time; otherCauses
 	// multiplies the weight of a cause that has nothing to do with runs.
-	size, otherCauses float64
+	simultaneous bool
+	otherCauses  float64
 	// unexplained is the probability that no job has caused the crash; ownAgent is set if
 	// an agent of this entry reported it.
 	unexplained float64
@@ -159,7 +160,7 @@
 	k := c.crashes.Get(id)
 	known := k != nil
 	if !known {
-		k = &crashRecord{id: id, at: c.now - time.Duration(max(crash.AgoMillis, 0))*time.Millisecond, size: 1, otherCauses: 1}
+		k = &crashRecord{id: id, at: c.now - time.Duration(max(crash.AgoMillis, 0))*time.Millisecond, otherCauses: 1}
 		c.crashes.Set(id, k)
 	}
 	k.ownAgent = k.ownAgent || fromAgent
