The budget of starts holds for tasks that are not blamed

Cause: the budget was checked only for jobs with a blame of a tenth. It is a bound on damage and must not depend on an estimate: it holds for each task now. A sound task meets it after five crashes under it within its deadline.

--- a/pool/scheduler/crash.go
+++ b/pool/scheduler/crash.go
@@ -28,8 +28,8 @@
 	// users forbid it after fewer crashes.
 	certainBlame    = 0.9
 	crashesToGiveUp = 2
-	// budgetCrashes is the number of crashes under a suspect's task after which it gets at
-	// most budgetStarts more starts, whatever the blame. The users forbid a third one.
+	// budgetCrashes is the number of crashes under a task after which it gets at most
+	// budgetStarts more starts, whatever the blame. The users forbid a third one.
 	budgetCrashes = 3
 	budgetStarts  = 2
 )
@@ -280,10 +280,10 @@
 }
 
 // withinBudget reports whether a task may be started, and gives its job up if too many
-// endpoints have crashed under it.
+// endpoints have crashed under it, whoever is to blame.
 func (c *Core) withinBudget(j *job, task int) bool {
 	s := j.suspect
-	if s == nil || s.blame < suspectBlame {
+	if s == nil {
 		return true
 	}
 	// Each crash after budgetCrashes had a start, by this entry or by another one.
--- a/pool/scheduler/crash_test.go
+++ b/pool/scheduler/crash_test.go
@@ -202,3 +202,32 @@
 	is.True(j.answer != nil)
 	is.Equal(j.answer.Verdict, verdict.MayHaveRun) // no confirmed run: not to be called failed
 }
+
+// TestBudgetHoldsWithoutBlame guards against a task that is started three times more after
+// three crashes under it (the users' rule BUDGET), because its neighbours share the blame:
+// they are run again together (soak with deadly jobs, seed 50286408489281).
+func TestBudgetHoldsWithoutBlame(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 2, 64000)
+	var crashes []message.EndpointCrash
+	for i := range budgetCrashes + budgetStarts {
+		crash := endpointCrash(fmt.Sprint("endpoint-", i))
+		crash.AgoMillis = int64(5000 - 1000*i)
+		for n := range 12 {
+			r := under(fmt.Sprint("check-", n+1), 0, check.queue, 600*time.Millisecond)
+			r.Run.Number = int64(i + 1)
+			crash.Runs = append(crash.Runs, r)
+		}
+		crashes = append(crashes, crash)
+	}
+	sim.apply(CrashesShared{Notice: &message.CrashNotice{Crashes: crashes}})
+	s := sim.core.suspects.Get("check-1")
+	is.Equal(s.mostCrashes(), budgetCrashes+budgetStarts)
+	is.True(!s.givenUp)
+	is.True(s.blame < suspectBlame)
+	j := sim.submit(check)
+	is.Equal(j.ID, "check-1")
+	sim.advance()
+	is.Equal(sim.runs, 0)
+	is.True(j.answer != nil)
+}
