A crash is dated to the first failed poll

Seen in the soak with deadly jobs: behind a proxy that goes on to accept connections, a crash shows only when the next process of the endpoint is heard, 0.3 to 1 s later. All runs then had the same age, 620 ms in place of 10, so that the deadly one was not told from its neighbours, and each crash looked like one of other causes.

The agent now dates the crash to the first of the polls that have failed since the endpoint's last answer. A start sent after that keeps its age, as the process may have lived on until it. TestCrashIsDatedToTheFirstFailedPoll failed before (age 612 ms).

--- a/pool/executor/crash.go
+++ b/pool/executor/crash.go
@@ -32,45 +32,59 @@
 	if !e.present || e.leaving {
 		return
 	}
-	record := message.EndpointCrash{Endpoint: e.name, Incarnation: e.incarnation}
+	record, at := message.EndpointCrash{Endpoint: e.name, Incarnation: e.incarnation}, e.crashTime(c.now)
 	for _, r := range c.runs.All() {
 		arrived := r.state != runStarting || r.uncertain()
 		if arrived && r.adoption == e.adoption && r.state != runInNextIncarnation {
-			record.Runs = append(record.Runs, c.crashedRun(r))
+			record.Runs = append(record.Runs, c.crashedRun(r, at))
 		}
 	}
 	if len(record.Runs) == 0 {
 		return
 	}
 	c.counters.Crashes++
-	c.addCrash(record)
+	c.addCrash(record, at)
+}
+
+// crashTime returns when the endpoint's process has probably ended, if its end shows now:
+// at the first of the polls that have failed since its last answer.
+func (e *endpoint) crashTime(now time.Duration) time.Duration {
+	if e.pollFailures > 0 && e.answeredAt < e.pollFailedSince {
+		return e.pollFailedSince
+	}
+	return now
 }
 
 // amendCrash adds a run to the record of the crash of its endpoint.
 func (c *Core) amendCrash(r *run) {
 	e := &c.endpoint
-	record := message.EndpointCrash{Endpoint: e.name, Incarnation: e.incarnation}
+	record, at := message.EndpointCrash{Endpoint: e.name, Incarnation: e.incarnation}, c.now
 	for i, known := range c.crashes {
 		if known.Endpoint == e.name && known.Incarnation == e.incarnation {
-			record.Runs = known.Runs
+			record.Runs, at = known.Runs, known.at
 			c.crashes = slices.Delete(c.crashes, i, i+1)
 			break
 		}
 	}
-	record.Runs = append(record.Runs, c.crashedRun(r))
-	c.addCrash(record)
+	record.Runs = append(record.Runs, c.crashedRun(r, at))
+	c.addCrash(record, at)
 }
 
-func (c *Core) crashedRun(r *run) message.CrashedRun {
+// crashedRun describes a run under a crash at the given time. If it was started later,
+// the process may have lived on until now.
+func (c *Core) crashedRun(r *run, at time.Duration) message.CrashedRun {
 	c.counters.CrashedRuns++
+	if r.firstStart > at {
+		at = c.now
+	}
 	return message.CrashedRun{
-		Run: r.ref, Queue: r.queue, AgeMillis: (c.now - r.firstStart).Milliseconds(), Unconfirmed: r.acceptedAt == 0,
+		Run: r.ref, Queue: r.queue, AgeMillis: (at - r.firstStart).Milliseconds(), Unconfirmed: r.acceptedAt == 0,
 	}
 }
 
-func (c *Core) addCrash(record message.EndpointCrash) {
+func (c *Core) addCrash(record message.EndpointCrash, at time.Duration) {
 	c.crashVersion++
-	c.crashes = append(c.crashes, crash{EndpointCrash: record, at: c.now, version: c.crashVersion})
+	c.crashes = append(c.crashes, crash{EndpointCrash: record, at: at, version: c.crashVersion})
 	c.crashes = slices.DeleteFunc(c.crashes, func(k crash) bool { return c.now-k.at > crashRetention })
 	if len(c.crashes) > maxCrashes {
 		c.crashes = slices.Delete(c.crashes, 0, len(c.crashes)-maxCrashes)
