--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -146,6 +146,9 @@
 		interval := time.Duration(random.ExpFloat64() / rate() * float64(time.Second))
 		job := callerJob{id: fmt.Sprintf("%016x", random.Uint64()), tasks: 1 + random.IntN(5)}
 		firstEntry := random.IntN(len(c.entries))
+		if rand.Int32N(100) < c.deadlyPercent.Load() {
+			c.record.markDeadly(job.id)
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(interval):
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -76,8 +76,11 @@
 	address string
 
 	// endpointMu guards the current incarnation of the endpoint: runner,
-	// endpointServer and stopHeartbeats.
-	endpointMu     sync.Mutex
+	// endpointServer and stopHeartbeats. endpointUp is set while there is one.
+	endpointMu sync.Mutex
+	endpointUp bool
+	// capacity is the capacity of the endpoint, in thousandths of a core.
+	capacity       int64
 	runner         *runner.Runner
 	endpointServer *http.Server
 	stopHeartbeats context.CancelFunc
@@ -97,6 +100,11 @@
 	entries    []*entry
 	agents     []*agent
 
+	// deadlyPercent is the percentage of new jobs whose first task crashes each
+	// endpoint that starts it. closed is set when no endpoint is to be started any more.
+	deadlyPercent atomic.Int32
+	closed        atomic.Bool
+
 	configMu    sync.Mutex
 	version     int
 	extraRoutes int
@@ -170,7 +178,7 @@
 }
 
 func (c *cluster) addAgent(i int) {
-	a := &agent{process: process{name: fmt.Sprintf("agent-%d", i), role: "agent", dir: c.dir}, address: freeTCP(c.t)}
+	a := &agent{process: process{name: fmt.Sprintf("agent-%d", i), role: "agent", dir: c.dir}, address: freeTCP(c.t), capacity: slots * taskCPU}
 	heartbeats := freeTCP(c.t)
 	var err error
 	a.callProxy, err = newTCPProxy(a.address)
@@ -189,10 +197,14 @@
 	c.must(os.WriteFile(filepath.Join(c.dir, name+".yaml"), []byte(text), 0o600))
 }
 
-// startEndpoint starts a new incarnation of an agent's endpoint.
+// startEndpoint starts a new incarnation of an agent's endpoint, unless there is one.
 func (c *cluster) startEndpoint(a *agent) {
 	a.endpointMu.Lock()
 	defer a.endpointMu.Unlock()
+	if a.endpointUp || c.closed.Load() {
+		return
+	}
+	a.endpointUp = true
 	var listener net.Listener
 	c.await("the address of "+a.name+"'s endpoint to be free", func() bool {
 		l, err := net.Listen("tcp", a.address)
@@ -201,9 +213,15 @@
 	})
 	endpoint := runner.New(runner.Options{
 		Name: a.name + "-endpoint", Service: service, Address: a.callProxy.address(), HeartbeatAddress: a.heartbeats.address(),
-		CPU: slots * taskCPU, TaskCPU: taskCPU, Lease: lease, StopTime: stopTime / 2, Heartbeat: heartbeatInterval, Work: a.work,
+		CPU: a.capacity, TaskCPU: taskCPU, Lease: lease, StopTime: stopTime / 2, Heartbeat: heartbeatInterval, Work: a.work,
+		ShrinkGrace: shrinkGrace,
 	})
-	endpoint.Watch(c.record.runStarted, c.record.runEnded)
+	endpoint.Watch(func(task string) {
+		c.record.runStarted(task)
+		if c.record.isDeadly(task) {
+			go c.crashAndRestart(a, endpoint)
+		}
+	}, c.record.runEnded)
 	ctx, stopHeartbeats := context.WithCancel(context.Background())
 	a.runner, a.stopHeartbeats, a.endpointServer = endpoint, stopHeartbeats, &http.Server{Handler: endpoint}
 	go func(s *http.Server) { _ = s.Serve(listener) }(a.endpointServer)
@@ -215,6 +233,15 @@
 func (c *cluster) crashEndpoint(a *agent) {
 	a.endpointMu.Lock()
 	defer a.endpointMu.Unlock()
+	c.crashEndpointLocked(a)
+}
+
+// crashEndpointLocked is crashEndpoint with a.endpointMu held.
+func (c *cluster) crashEndpointLocked(a *agent) {
+	if !a.endpointUp {
+		return
+	}
+	a.endpointUp = false
 	a.stopHeartbeats()
 	a.runner.Crash()
 	_ = a.endpointServer.Close()
@@ -292,6 +319,7 @@
 // close ends all processes and endpoints, with the check in crashEndpoint, and
 // closes the proxies and the store.
 func (c *cluster) close() {
+	c.closed.Store(true)
 	for _, e := range c.entries {
 		e.end()
 		e.peerProxy.close()
--- a/soak/record_test.go
+++ b/soak/record_test.go
@@ -8,6 +8,15 @@
 	"time"
 )
 
+const (
+	// The users forbid to start a task that crashes its endpoints more than budgetStarts
+	// times after budgetCrashes crashes, and to report its job as failed before
+	// crashesToFail crashes.
+	budgetCrashes = 3
+	budgetStarts  = 2
+	crashesToFail = 2
+)
+
 // record holds what endpoints and callers observed and which guarantees were
 // violated. It is safe for concurrent use.
 type record struct {
@@ -20,8 +29,16 @@
 	// done tells by task whether one of its runs ended as done.
 	done map[string]bool
 	// failures is the number of failed runs by task.
-	failures   map[string]int
-	violations []string
+	failures map[string]int
+	// crashes is the number of endpoints that crashed under each task, startsAfterCrashes
+	// its number of starts after budgetCrashes of them.
+	crashes, startsAfterCrashes map[string]int
+	// deadly holds the jobs whose first task crashes its endpoint.
+	deadly map[string]bool
+	// crashesToFail is the number of crashes under one of its tasks after which a job may
+	// be reported as failed, 0 if never.
+	crashesToFail int
+	violations    []string
 	// notRun lists jobs that were submitted only once and refused as not run.
 	notRun []string
 	counts map[string]int
@@ -31,6 +48,7 @@
 	return &record{
 		startedAt: time.Now(), running: map[string]int{}, starts: map[string]int{}, done: map[string]bool{},
 		failures: map[string]int{}, counts: map[string]int{},
+		crashes: map[string]int{}, startsAfterCrashes: map[string]int{}, deadly: map[string]bool{},
 	}
 }
 
@@ -63,6 +81,39 @@
 	if r.running[task] > 1 {
 		r.addViolationLocked("%s had two runs at the same time", task)
 	}
+	if r.crashes[task] >= budgetCrashes && r.isDeadlyLocked(task) {
+		r.startsAfterCrashes[task]++
+		if n := r.startsAfterCrashes[task]; n > budgetStarts {
+			r.addViolationLocked("%s was started %d times more after %d endpoints had crashed under it", task, n, budgetCrashes)
+		}
+	}
+}
+
+// allowFailureAfter lets jobs be reported as failed after a number of crashes under one
+// of their tasks.
+func (r *record) allowFailureAfter(crashes int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crashesToFail = crashes
+}
+
+// markDeadly marks a job as deadly.
+func (r *record) markDeadly(job string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.deadly[job] = true
+	r.counts["deadly"]++
+}
+
+// isDeadly reports whether a task crashes the endpoints that start it.
+func (r *record) isDeadly(task string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.isDeadlyLocked(task)
+}
+
+func (r *record) isDeadlyLocked(task string) bool {
+	return strings.HasSuffix(task, ".0.0.0") && r.deadly[jobOf(task)]
 }
 
 // runEnded records the end of a run that an endpoint reports.
@@ -75,6 +126,8 @@
 		r.done[task] = true
 	case "failed":
 		r.failures[task]++
+	case "crashed":
+		r.crashes[task]++
 	}
 }
 
@@ -101,13 +154,20 @@
 }
 
 // jobFailed checks an answer that reports a job as failed: one of its tasks must
-// have failed maxAttempts times.
+// have failed maxAttempts times, or been under crashesToFail crashes.
 func (r *record) jobFailed(job string, tasks, maxAttempts int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.counts["failed"]++
 	for i := range tasks {
-		if r.failures[job+".0.0."+strconv.Itoa(i)] >= maxAttempts {
+		task := job + ".0.0." + strconv.Itoa(i)
+		if r.failures[task] >= maxAttempts {
+			return
+		}
+		if r.crashesToFail > 0 && r.crashes[task] >= r.crashesToFail {
+			if !r.deadly[job] {
+				r.counts["failed, though sound"]++
+			}
 			return
 		}
 	}
--- a/soak/scenario_test.go
+++ b/soak/scenario_test.go
@@ -48,18 +48,22 @@
 	for _, seed := range list {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			t.Parallel()
-			runScenario(t, seed)
+			runScenario(t, seed, nil)
 		})
 	}
 }
 
-func runScenario(t *testing.T, seed uint64) {
+// runScenario runs a scenario of random faults, and further ones that more adds.
+func runScenario(t *testing.T, seed uint64, more func(*scenario)) {
 	dir, err := os.MkdirTemp(*logFolder, fmt.Sprintf("soak-%d-", seed))
 	if err != nil {
 		t.Fatal(err)
 	}
 	c := newCluster(t, dir, *entries, *agents)
 	s := &scenario{cluster: c, random: rand.New(rand.NewPCG(seed, 0))}
+	if more != nil {
+		more(s)
+	}
 	s.run(*faultPeriod)
 	c.close()
 	violations := append(c.record.finish(), c.panics()...)
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -20,8 +20,11 @@
 	Address string
 	// HeartbeatAddress is the host and port to which the runner sends its heartbeats.
 	HeartbeatAddress string
-	// CPU is its capacity in thousandths of a core; each task takes TaskCPU.
+	// CPU is its capacity in thousandths of a core, until SetCapacity changes it; each
+	// task takes TaskCPU.
 	CPU, TaskCPU int64
+	// ShrinkGrace is the time for which starts may still use a capacity that has shrunk.
+	ShrinkGrace time.Duration
 	// Lease is the maximum time from a call to the end of the lease that it sets.
 	Lease time.Duration
 	// StopTime is the time from a stop to the end of the run.
@@ -48,6 +51,9 @@
 	ended      []endedRun
 	lastEnd    int64
 	changed    chan struct{}
+	// capacity is the present capacity, former lists the ones before it.
+	capacity int64
+	former   []formerCapacity
 	// unanswered is the number of calls that are executed and then left unanswered.
 	unanswered int
 	// starts counts the starts of each task, startsOverCapacity the starts beyond
@@ -61,6 +67,12 @@
 	onEnd   func(task, outcome string)
 }
 
+// formerCapacity is a capacity that ended at a time.
+type formerCapacity struct {
+	cpu     int64
+	endedAt time.Time
+}
+
 type runKey struct {
 	task   string
 	number int64
@@ -89,7 +101,7 @@
 		o.Work = func(string) (time.Duration, string) { return 20 * time.Millisecond, "done" }
 	}
 	return &Runner{
-		opts: o, startTime: time.Now(), state: "ready", running: map[runKey]*run{}, highestRun: map[string]int64{},
+		opts: o, capacity: o.CPU, startTime: time.Now(), state: "ready", running: map[runKey]*run{}, highestRun: map[string]int64{},
 		starts: map[string]int{}, changed: make(chan struct{}),
 	}
 }
@@ -117,6 +129,26 @@
 	return r.startsOverCapacity
 }
 
+// SetCapacity changes the capacity, in thousandths of a core. Tasks that run go on.
+func (r *Runner) SetCapacity(cpu int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.former = append(r.former, formerCapacity{r.capacity, time.Now()})
+	r.capacity = cpu
+}
+
+// capacityLimit returns the capacity up to which tasks may be started: the largest one
+// of the last ShrinkGrace.
+func (r *Runner) capacityLimit() int64 {
+	limit := r.capacity
+	for _, f := range r.former {
+		if time.Since(f.endedAt) < r.opts.ShrinkGrace {
+			limit = max(limit, f.cpu)
+		}
+	}
+	return limit
+}
+
 // Drain makes the following heartbeats report the state "draining".
 func (r *Runner) Drain() {
 	r.mu.Lock()
@@ -165,7 +197,7 @@
 	body, _ := json.Marshal(map[string]any{
 		"service": r.opts.Service, "address": r.opts.Address, "state": r.state, "seq": r.seq,
 		"born": r.startTime.UnixMilli(), "clock_ms": r.clock(), "labels": []string{"a"},
-		"free_capacity": map[string]int64{"cpu": r.opts.CPU, "mem_mb": 1 << 20, "gpu": 0},
+		"free_capacity": map[string]int64{"cpu": r.capacity, "mem_mb": 1 << 20, "gpu": 0},
 	})
 	r.mu.Unlock()
 	url := "http://" + r.opts.HeartbeatAddress + "/instances/" + r.opts.Name
@@ -261,7 +293,7 @@
 		return conflict("late")
 	}
 	r.extend(c.UntilMS)
-	if int64(len(r.running)+1)*r.opts.TaskCPU > r.opts.CPU {
+	if int64(len(r.running)+1)*r.opts.TaskCPU > r.capacityLimit() {
 		r.startsOverCapacity++
 	}
 	r.starts[c.Task]++
