--- a/soak/deadly_test.go
+++ b/soak/deadly_test.go
@@ -20,21 +20,17 @@
 	shrinkGrace = 3*time.Second + heartbeatInterval
 )
 
-// deadlySeeds are the seeds of TestSoakWithDeadlyJobs that run by default.
-var deadlySeeds = []uint64{1, 2}
+// deadlySeeds is the list of fixedSeeds for TestSoakWithDeadlyJobs.
+var deadlySeeds = map[uint64]string{
+	1:              "short run for CI",
+	50286408489281: "a task was started four times more after three endpoints had crashed under it",
+}
 
 // TestSoakWithDeadlyJobs guards against tasks that crash endpoint after endpoint (the
 // users' rule BUDGET) and starts over a capacity that has shrunk (LIMIT), while processes
 // fail as in TestSoak.
 func TestSoakWithDeadlyJobs(t *testing.T) {
-	list := deadlySeeds
-	if *oneSeed != 0 {
-		list = []uint64{*oneSeed}
-	}
-	for range *seeds {
-		list = append(list, rand.Uint64()>>16)
-	}
-	for _, seed := range list {
+	for _, seed := range seedsToRun(deadlySeeds) {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			t.Parallel()
 			runScenario(t, seed, (*scenario).addDeadlyJobs)
--- a/soak/scenario_test.go
+++ b/soak/scenario_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -26,26 +28,14 @@
 // seed that ever failed is added with its cause and stays. Faults are injected in
 // real time, so a seed reproduces the faults but not the interleaving.
 var fixedSeeds = map[uint64]string{
-	1:               "short run for CI",
+	1:               "short run for CI; a sound job was reported as failed after two crashes",
 	100491792568735: "SIGHUP to an entry that had just started terminated it",
 	159926703899893: "an agent stopped by SIGTERM exited with an error because a half-received heartbeat was still open",
 }
 
 // TestSoak runs a scenario of random faults on separate processes for each seed.
 func TestSoak(t *testing.T) {
-	var list []uint64
-	switch {
-	case *oneSeed != 0:
-		list = append(list, *oneSeed)
-	default:
-		for seed := range fixedSeeds {
-			list = append(list, seed)
-		}
-		for range *seeds {
-			list = append(list, rand.Uint64()>>16)
-		}
-	}
-	for _, seed := range list {
+	for _, seed := range seedsToRun(fixedSeeds) {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			t.Parallel()
 			runScenario(t, seed, nil)
@@ -53,12 +43,26 @@
 	}
 }
 
+// seedsToRun returns the seeds that the flags select: one, or the fixed ones and random
+// ones.
+func seedsToRun(fixed map[uint64]string) []uint64 {
+	if *oneSeed != 0 {
+		return []uint64{*oneSeed}
+	}
+	list := slices.Sorted(maps.Keys(fixed))
+	for range *seeds {
+		list = append(list, rand.Uint64()>>16)
+	}
+	return list
+}
+
 // runScenario runs a scenario of random faults, and further ones that more adds.
 func runScenario(t *testing.T, seed uint64, more func(*scenario)) {
 	dir, err := os.MkdirTemp(*logFolder, fmt.Sprintf("soak-%d-", seed))
 	if err != nil {
 		t.Fatal(err)
 	}
+	stalls := watchStalls()
 	c := newCluster(t, dir, *entries, *agents)
 	s := &scenario{cluster: c, random: rand.New(rand.NewPCG(seed, 0))}
 	if more != nil {
@@ -74,6 +78,8 @@
 		t.Error("no job was completed, so the scenario checked nothing")
 	}
 	t.Logf("seed %d: %v", seed, c.record.counts)
+	longest, at := stalls.stop()
+	t.Logf("longest stall of the test's own process: %v, ended at %.3f s", longest, at.Sub(c.record.startedAt).Seconds())
 	if t.Failed() {
 		for _, f := range s.faultLog {
 			t.Log(f)
