soak: processes are stopped once their own code runs

A stop now waits for the process's first line, 2 s at most, and is sent then anyway. The check of its exit is unchanged. Signals during the start of the program's own code are covered by command's TestSignalsDuringStart.

--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -24,8 +24,10 @@
 	// excusedUntil is the time until which a fault may keep the process from
 	// answering or stopping without a violation.
 	excusedUntil time.Time
-	// startedAt is when the current incarnation was started.
+	// startedAt is when the current incarnation was started, logSize the size of the log
+	// then.
 	startedAt time.Time
+	logSize   int64
 	// stopRequested is when SIGTERM was sent to the current incarnation; zero if it
 	// was not.
 	stopRequested time.Time
@@ -50,6 +52,11 @@
 	if err != nil {
 		return err
 	}
+	info, err := log.Stat()
+	if err != nil {
+		return err
+	}
+	p.logSize = info.Size()
 	cmd := exec.Command(binary, "platform", p.role, filepath.Join(p.dir, p.name+".yaml"))
 	cmd.Env = append(os.Environ(), "QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING=true")
 	cmd.Stdout, cmd.Stderr = log, log
@@ -92,6 +99,22 @@
 	}
 }
 
+// awaitOwnCode waits until the current incarnation has written a line, for
+// signalSetupLimit at most. On a busy machine its own code may begin long after the start,
+// and no program can handle a signal before.
+func (p *process) awaitOwnCode() {
+	p.mu.Lock()
+	name, before := filepath.Join(p.dir, p.name+".log"), p.logSize
+	p.mu.Unlock()
+	for deadline := time.Now().Add(signalSetupLimit); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if info, err := os.Stat(name); err == nil && info.Size() > before {
+			return
+		}
+	}
+}
+
+const signalSetupLimit = 2 * time.Second
+
 // kill sends SIGKILL and waits until the current incarnation has exited.
 func (p *process) kill() {
 	p.mu.Lock()
@@ -114,6 +137,7 @@
 // the process. Neither is a violation if the process was excused at some time
 // within the last shutdownGrace.
 func (p *process) stop(r *record) {
+	p.awaitOwnCode()
 	p.mu.Lock()
 	p.exitExpected, p.stopRequested = true, time.Now()
 	cmd, exited := p.cmd, p.exited
