A pause of the entry is not silence of its agents

Cause: an entry that did nothing for 300 to 400 ms, as small entries do when they are short of processor time, found all agents silent in its first step: its timer is handled before the reports that have arrived meanwhile. It closed all sessions, counted the runs as lost 1.5 s later, and refused jobs ("no endpoint takes tasks") until the agents were back.

A pause of 100 ms to the heartbeat timeout no longer counts as silence; at most one timeout is excused until an agent is heard again, so that an entry that is paused again and again still gives up agents that are gone. After a longer pause the agents have given the entry up, and nothing changes. Agents are not changed: their timeout bounds how long a run can outlive its entry's word, and must not be extended by a pause of theirs.

TestOwnPauseIsNotSilenceOfAgents failed before (0 of 4 agents connected after 350 ms).

--- a/pool/scheduler/agent.go
+++ b/pool/scheduler/agent.go
@@ -37,8 +37,10 @@
 	hash        uint64
 	incarnation uint64
 	session     Session
-	lastHeard   time.Duration
-	lastSent    time.Duration
+	// lastHeard is the time of the last message, excused the time since then that does
+	// not count as silence.
+	lastHeard, excused time.Duration
+	lastSent           time.Duration
 
 	endpoint *message.PoolEndpoint
 	// free is the free capacity last reported; unacked lists the needs of the
@@ -155,7 +157,7 @@
 		c.emit(Disconnect{Session: a.session})
 		c.disconnect(a.session, "connected again")
 	}
-	a.session, a.lastHeard, a.lastSent = ev.Session, c.now, 0
+	a.session, a.lastHeard, a.excused, a.lastSent = ev.Session, c.now, 0, 0
 	if a.incarnation != ev.Incarnation {
 		a.incarnation = ev.Incarnation
 		a.endpoint = nil
@@ -204,7 +206,7 @@
 // slowness.
 func (c *Core) checkAgents() {
 	for _, a := range c.agentList {
-		if a.session != 0 && c.now-a.lastHeard > c.opts.HeartbeatTimeout {
+		if a.session != 0 && c.now-a.lastHeard-a.excused > c.opts.HeartbeatTimeout {
 			c.emit(Disconnect{Session: a.session})
 			c.disconnect(a.session, "silent")
 		}
@@ -215,6 +217,15 @@
 	c.observeOthersWork()
 }
 
+// excuseSilence does not count a pause of this process as silence of its agents: what
+// they have sent meanwhile may be handled only after the first step. A process that is
+// paused again and again excuses no more than one heartbeat timeout.
+func (c *Core) excuseSilence(pause time.Duration) {
+	for _, a := range c.agentList {
+		a.excused = min(a.excused+pause, c.opts.HeartbeatTimeout)
+	}
+}
+
 // endUnreachableRuns ends the runs whose lostAt has passed as lost.
 func (c *Core) endUnreachableRuns(a *agent) {
 	for _, r := range a.runs.All() {
@@ -239,7 +250,7 @@
 	if a == nil {
 		return
 	}
-	a.lastHeard = c.now
+	a.lastHeard, a.excused = c.now, 0
 	a.reportTimestamp = report.Timestamp
 	a.free = report.Free
 	a.confined, a.confinedMilliCPU = report.Confined, report.ConfinedMilliCPU
--- a/pool/scheduler/core.go
+++ b/pool/scheduler/core.go
@@ -37,6 +37,9 @@
 	// longer than Options.ResubmitDelay less pauseMargin interrupts its jobs,
 	// as callers may have submitted them elsewhere.
 	pauseMargin = 300 * time.Millisecond
+	// shortPause is the time between two steps from which this process was paused. After
+	// more than Options.HeartbeatTimeout, its agents have given it up.
+	shortPause = 100 * time.Millisecond
 	// completedRetention is how long completed jobs are remembered. Late
 	// duplicates of a submission arrive within seconds.
 	completedRetention = 60 * time.Second
@@ -165,6 +168,9 @@
 		// The callers may have submitted their jobs elsewhere.
 		c.interrupt("the entry was held up for " + pause.String())
 	}
+	if c.now > 0 && pause > shortPause && pause <= c.opts.HeartbeatTimeout {
+		c.excuseSilence(pause)
+	}
 	c.now = max(c.now, now)
 	for _, ev := range events {
 		c.handle(ev)
--- a/pool/scheduler/overload_test.go
+++ b/pool/scheduler/overload_test.go
@@ -194,3 +194,39 @@
 	_, started := sim.core.Status(j.ID)
 	is.True(started)
 }
+
+// TestOwnPauseIsNotSilenceOfAgents guards against an entry that takes its own pause for the
+// silence of its agents: the machine is short of processor time, the entry does nothing for
+// 350 ms, and its timer is handled before the reports that have arrived meanwhile. An
+// agent that is silent indeed is given up after twice the heartbeat timeout, however
+// often the entry is paused.
+func TestOwnPauseIsNotSilenceOfAgents(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 4, 64000)
+	sim.core.opts.HeartbeatTimeout = 400 * time.Millisecond
+	for step := range 1000 {
+		sim.advance()
+		if step%100 == 0 {
+			for i := range sim.agents {
+				sim.report(i, &message.RunReport{})
+			}
+		}
+	}
+	connected := func() int {
+		n := 0
+		for _, a := range sim.core.agentList {
+			if a.session != 0 {
+				n++
+			}
+		}
+		return n
+	}
+	sim.now += 350 * time.Millisecond
+	sim.apply(Tick{})
+	is.Equal(connected(), len(sim.agents))
+	for range 3 {
+		sim.now += 150 * time.Millisecond
+		sim.apply(Tick{})
+	}
+	is.Equal(connected(), 0)
+}
