--- a/review/driver/cluster_test.go
+++ b/review/driver/cluster_test.go
@@ -58,6 +58,8 @@
 
 	runner *runner.Runner
 	server *http.Server
+	// endRunner ends the present life of the runner without a farewell.
+	endRunner func()
 }
 
 // cluster is a small deployment: a store, entries, agents and runners.
@@ -284,11 +286,13 @@
 	go func(s *http.Server) { _ = s.Serve(listener) }(m.server)
 	ctx, cancel := contextWithCancel()
 	go m.runner.Heartbeat(ctx)
-	server := m.server
-	c.closeAll = append(c.closeAll, func() {
+	life, server := m.runner, m.server
+	m.endRunner = func() {
 		cancel()
+		life.Crash()
 		_ = server.Close()
-	})
+	}
+	c.closeAll = append(c.closeAll, m.endRunner)
 	return nil
 }
 
