--- a/review/driver/cluster_test.go
+++ b/review/driver/cluster_test.go
@@ -72,6 +72,9 @@
 	agents   []*machine
 	work     func(task string) (time.Duration, string)
 	closeAll []func()
+	// mu guards closed, after which no process is started any more.
+	mu     sync.Mutex
+	closed bool
 }
 
 var errNotReady = errors.New("the system was not ready in time")
@@ -110,6 +113,8 @@
 		}
 		c.agents = append(c.agents, m)
 	}
+	// From here on there are processes to end.
+	openCluster.Store(c)
 	for _, m := range c.machines() {
 		if err := c.start(m); err != nil {
 			return c, err
@@ -218,6 +223,11 @@
 
 // start starts the machine's process with the command of the deploy file.
 func (c *cluster) start(m *machine) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return errors.New("the script is ending")
+	}
 	path := filepath.Join(c.dir, m.name+".yaml")
 	if _, err := os.Stat(path); err != nil {
 		text, err := c.settings(m)
@@ -313,6 +323,9 @@
 
 // close ends all processes and servers that the script started.
 func (c *cluster) close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
 	for _, m := range c.machines() {
 		m.signal(syscall.SIGCONT)
 		m.kill()
--- a/review/driver/main_test.go
+++ b/review/driver/main_test.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -67,11 +68,11 @@
 }
 
 // openCluster is the cluster that is to be ended when the program ends early.
-var openCluster *cluster
+var openCluster atomic.Pointer[cluster]
 
 func closeOpen() {
-	if openCluster != nil {
-		openCluster.close()
+	if c := openCluster.Load(); c != nil {
+		c.close()
 	}
 }
 
@@ -79,7 +80,6 @@
 func withCluster(rec *record, work func(task string) (time.Duration, string), play func(c *cluster) int) int {
 	c, err := newCluster(rec, work)
 	if c != nil {
-		openCluster = c
 		defer c.close()
 	}
 	if err != nil {
