--- a/review/driver/freeze_test.go
+++ b/review/driver/freeze_test.go
@@ -28,6 +28,9 @@
 		id := newID()
 		ended := c.post(entry, id, jobSpec(1100, taskTime), 30*time.Second)
 		time.Sleep(freezeCancel - time.Since(begin))
+		if !trouble && !hasStarted(rec, id) {
+			return notRun
+		}
 		acknowledged := make(chan clientAnswer, 1)
 		go func() {
 			status, answer := c.call(http.MethodDelete, entry, id, nil, 0)
--- a/review/driver/queue_test.go
+++ b/review/driver/queue_test.go
@@ -21,6 +21,9 @@
 		// 18 waves of tasks on eleven runners that take ten each.
 		c.post(entry, id, jobSpec(1900, taskTime), 60*time.Second)
 		time.Sleep(300 * time.Millisecond)
+		if !hasStarted(rec, id) {
+			return notRun
+		}
 		if trouble {
 			c.configure(2, false)
 			rec.line("fault version 2 of the configuration, without the job's queue, is acknowledged")
