--- a/review/stage/cases_test.go
+++ b/review/stage/cases_test.go
@@ -135,9 +135,10 @@
 	a.silence()
 	connection := oneConnection()
 	connection.Timeout = time.Second
-	time.Sleep(drainTime)
+	time.Sleep(heartbeat)
 	status, answer = s.beat(connection, a, 1001, "draining")
 	s.rec.note("runner of %s: heartbeat, draining: %d %s", a.name, status, answer)
+	time.Sleep(drainTime - heartbeat)
 	if s.trouble {
 		s.rec.note("for 3 s nothing from %s reaches its runner", a.name)
 		a.control.out.set(3 * time.Second)
