Agents: the capacity is unknown after a long pause until it is announced

What callers saw: nothing yet; an endpoint that does not guard its capacity can be ordered more than it has, which slows down the tasks of all its callers.

Cause: after a pause the first answered poll made the endpoint ready, with the capacity of the last announcement before the pause. It may have shrunk meanwhile; the next announcement comes up to one interval (1.5 s on the users' platform) later.

Change: after a pause of more than 2 s the agent takes no tasks until the endpoint has announced itself. Shorter pauses are within the time for which a shrunken capacity does not count yet.

--- a/pool/executor/core.go
+++ b/pool/executor/core.go
@@ -65,6 +65,9 @@
 	// droppedRetention is how long a dropped incarnation of an entry is remembered.
 	// An entry that was paused for longer has abandoned its jobs long before.
 	droppedRetention = 10 * time.Minute
+	// capacityAge is the pause of this process after which the endpoint's capacity may have
+	// changed unnoticed: longer than the usual interval between announcements.
+	capacityAge = 2 * time.Second
 	// stopRepeat is the interval after which an accepted stop is sent again while
 	// the end of its run has not been listed.
 	stopRepeat = 150 * time.Millisecond
@@ -85,6 +88,7 @@
 // Invariants:
 //   - The summed needs of all runs that may be alive at the endpoint fit its
 //     capacity; a run counts from before its start is sent until its end is known.
+//     After a long pause of this process the capacity is unknown until it is announced.
 //   - A run is reported as refused only when the endpoint can no longer start it.
 //   - The runs of an entry that sends nothing for Options.HeartbeatTimeout are
 //     stopped, and no order that it decided on before is accepted.
@@ -165,6 +169,9 @@
 	if c.firstStep == 0 {
 		c.firstStep = now
 	}
+	if c.now > 0 && now-c.now > capacityAge {
+		c.endpoint.capacityUnknown = true
+	}
 	c.now = max(c.now, now)
 	c.actions = nil
 	// Unresponsive entries are dropped first: after a pause of this process nothing
--- a/pool/executor/endpoint.go
+++ b/pool/executor/endpoint.go
@@ -17,9 +17,12 @@
 	seq         int64
 	service     string
 	capacity    message.Resources
-	labels      []string
-	leaving     bool
-	present     bool
+	// capacityUnknown is set from a long pause of this process until the next
+	// announcement.
+	capacityUnknown bool
+	labels          []string
+	leaving         bool
+	present         bool
 	// crashed is set when nothing listened at the endpoint's address.
 	crashed bool
 	// version rises with each change that is reported to entries.
@@ -73,7 +76,7 @@
 // ready reports whether the endpoint takes new tasks.
 func (c *Core) ready() bool {
 	e := &c.endpoint
-	return e.present && e.reconciled && !e.leaving && !e.mismatched && !c.stopping && c.now-e.answeredAt < unreachableAfter
+	return e.present && e.reconciled && !e.capacityUnknown && !e.leaving && !e.mismatched && !c.stopping && c.now-e.answeredAt < unreachableAfter
 }
 
 func (c *Core) describe(en *entry) *message.PoolEndpoint {
@@ -108,7 +111,7 @@
 	case !e.present || e.name != ev.Name || ev.EndpointIncarnation > e.incarnation:
 		c.adopt(ev)
 	}
-	e.seq = ev.Seq
+	e.seq, e.capacityUnknown = ev.Seq, false
 	if !sameEndpoint(e, ev) {
 		e.service, e.capacity, e.labels, e.leaving = ev.Service, ev.Capacity, ev.Labels, ev.Leaving
 		c.endpointChanged()
--- a/pool/executor/executor_test.go
+++ b/pool/executor/executor_test.go
@@ -109,6 +109,27 @@
 	}
 }
 
+// TestCapacityIsUnknownAfterAPause guards against starts beyond a capacity that shrank
+// while the agent's process was paused: it accepts none until the endpoint has announced
+// itself again.
+func TestCapacityIsUnknownAfterAPause(t *testing.T) {
+	r := readyHarness(t)
+	r.now += 5 * time.Second
+	r.answerPolls(PollAccepted)
+	r.step(SessionOpened{Session: 2, Entry: "e2", Incarnation: 1})
+	r.orders(2, "a", 2, 4000)
+	if n := len(actionsOf[StartCall](r)); n != 0 {
+		t.Errorf("%d starts into a capacity that is not known", n)
+	}
+	r.step(EndpointAnnounced{
+		Name: "i-1", EndpointIncarnation: 1, Seq: 2, Service: "s", Capacity: message.Resources{MilliCPU: 5000}, ClockMillis: 10000,
+	})
+	r.orders(2, "b", 2, 4000)
+	if n := len(actionsOf[StartCall](r)); n != 1 {
+		t.Errorf("%d starts into capacity for 1", n)
+	}
+}
+
 func TestStoppedRunKeepsItsCapacityUntilItsEndIsListed(t *testing.T) {
 	r := readyHarness(t)
 	r.orders(1, "a", 1, 8000)
