Entries: start nothing that may be from before a pause of the process

Cause: an entry took each request that it read for a new one. TCP delivers what was sent during a pause with one of its repetitions, up to the pause's length after its end, when the caller has given up and gone elsewhere. The guard after a pause covered the jobs in the core, not what was still under way: requests, and ends of connections.

Ruled out: an unnoticed pause (jobs from before it were interrupted); asking the other entries, which can't tell which of two submissions is the older one.

Change: the scheduler records its outages. As soon as what was sent in one may be older than the callers' delay before they submit elsewhere, less 0.3 s, it interrupts the jobs from before the outage's end, answers requests on connections from before it with 502 (possibly run) without a start, and has these connections closed, so that callers use new ones, whose requests are recent. The core takes its first step before it listens.

--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -234,7 +234,7 @@
 	j.entry.deliver(scheduler.JobSubmitted{Waiter: j.waiter, Job: &scheduler.Job{
 		ID: j.id, Queue: c.Name, Service: service, Urgent: c.Urgent, Tasks: len(j.works), Need: j.need,
 		Estimate: j.estimate, Stretch: c.Stretch, Slack: c.Slack, Attempts: 3,
-		Deadline: j.deadline, FirstRun: s.clock.now.Milliseconds() * runNumbersPerMilli,
+		Deadline: j.deadline, ConnectedAt: s.clock.now, FirstRun: s.clock.now.Milliseconds() * runNumbersPerMilli,
 	}})
 	entry, waiter := j.entry, j.waiter
 	s.clock.at(j.deadline, func() {
--- a/pool/client_model_test.go
+++ b/pool/client_model_test.go
@@ -9,8 +9,15 @@
 	"marjoramlug.example/marjoramlug/verdict"
 )
 
-// client submits a job and, when its connection breaks, submits it again at
-// another entry.
+const (
+	// patience is how long a client waits for an answer.
+	patience = 1500 * time.Millisecond
+	// firstRetransmission is TCP's first retransmission timeout; it doubles.
+	firstRetransmission = 200 * time.Millisecond
+)
+
+// client submits a job and, when its connection breaks or it has waited too long, submits
+// it again at another entry.
 type client struct {
 	job        string
 	entry      int
@@ -26,6 +33,8 @@
 	// was none.
 	completedAt time.Duration
 	submissions int
+	// patientUntil is the time at which the client gives up its current submission.
+	patientUntil time.Duration
 }
 
 // submit adds a client that submits a new job.
@@ -40,12 +49,54 @@
 	sim.waiters++
 	c.waiter, c.answers, c.started = scheduler.Waiter(sim.waiters), 0, false
 	c.submissions++
-	e := sim.entries[c.entry]
-	e.inbox = append(e.inbox, scheduler.JobSubmitted{Waiter: c.waiter, Job: &scheduler.Job{
+	// The connection has been open for some time.
+	connectedAt := max(sim.now-time.Second, 0)
+	sim.transmit(c.entry, c.waiter, scheduler.JobSubmitted{Waiter: c.waiter, Job: &scheduler.Job{
 		ID: c.job, Queue: "q", Service: "s", Tasks: tasks, Need: message.Resources{MilliCPU: cpu},
 		Estimate: estimate, Stretch: 1.6, Slack: 60 * time.Millisecond, Attempts: 3,
-		Deadline: sim.now + 4*time.Second, FirstRun: int64(sim.now/time.Millisecond)*16 + 16,
+		Deadline: sim.now + 4*time.Second, FirstRun: int64(sim.now/time.Millisecond)*16 + 16, ConnectedAt: connectedAt,
 	}})
+	c.patientUntil = sim.now + patience
+}
+
+// transmission is an event of a client's connection on its way to an entry. A frozen entry
+// takes no packets: TCP sends them again.
+type transmission struct {
+	waiter scheduler.Waiter
+	event  scheduler.Event
+	// next is the time of the next attempt, timeout the time from it to the one after.
+	next, timeout time.Duration
+}
+
+func (sim *simulation) transmit(entry int, w scheduler.Waiter, event scheduler.Event) {
+	e := sim.entries[entry]
+	e.transmissions = append(e.transmissions, &transmission{waiter: w, event: event, next: sim.now, timeout: firstRetransmission})
+}
+
+// deliverTransmissions delivers what arrives at the entries, in the order in which each
+// connection sent it. The end of a connection follows its last data after a round trip.
+func (sim *simulation) deliverTransmissions() {
+	for _, e := range sim.entries {
+		var left []*transmission
+		held := map[scheduler.Waiter]bool{}
+		for _, t := range e.transmissions {
+			switch {
+			case held[t.waiter]:
+				t.next = sim.now + tick
+			case sim.now < t.next:
+			case sim.now < e.frozenUntil:
+				t.next += t.timeout
+				t.timeout *= 2
+			default:
+				e.inbox = append(e.inbox, t.event)
+				held[t.waiter] = true
+				continue
+			}
+			held[t.waiter] = true
+			left = append(left, t)
+		}
+		e.transmissions = left
+	}
 }
 
 // disconnectClient ends a client's connection; the client submits again at
@@ -54,7 +105,7 @@
 	if c.done || c.resubmitAt != 0 {
 		return
 	}
-	sim.entries[c.entry].inbox = append(sim.entries[c.entry].inbox, scheduler.WaiterDisconnected{Waiter: c.waiter})
+	sim.transmit(c.entry, c.waiter, scheduler.WaiterDisconnected{Waiter: c.waiter})
 	c.resubmitAt = sim.now + resubmitDelay
 }
 
@@ -70,6 +121,8 @@
 				continue
 			}
 			sim.send(c, 2, 6000, 100*time.Millisecond)
+		case c.resubmitAt == 0 && sim.now >= c.patientUntil && c.submissions == 1:
+			sim.disconnectClient(c)
 		case c.resubmitAt == 0 && sim.now >= c.deadline+time.Second:
 			sim.disconnectClient(c)
 			c.done = true
@@ -96,6 +149,9 @@
 				sim.fail("%s was refused as not run, though a task of it had started", c.job)
 			}
 		}
+		if a.Answer.Reason == verdict.ReasonUnavailable && c.resubmitAt == 0 {
+			c.resubmitAt = sim.now + resubmitDelay
+		}
 		if c.resubmitAt == 0 {
 			c.done = true
 		}
--- a/pool/node/agent.go
+++ b/pool/node/agent.go
@@ -180,7 +180,7 @@
 }
 
 func (a *Agent) step(ev executor.Event) {
-	for _, action := range a.core.Step(sinceBoot(), ev) {
+	for _, action := range a.core.Step(SinceBoot(), ev) {
 		a.perform(action)
 	}
 }
--- a/pool/node/entry.go
+++ b/pool/node/entry.go
@@ -28,6 +28,10 @@
 	Metrics *telemetry.Registry
 	Log     *telemetry.EventLog
 	Version string
+	// CloseIdleConnections, if set, closes the connections of callers that were opened
+	// before the given time since boot and have no pending request; the others are to be
+	// closed after their answer.
+	CloseIdleConnections func(openedBefore time.Duration)
 }
 
 // Entry schedules the jobs of its callers. Call Run once.
@@ -75,6 +79,9 @@
 		answers: map[scheduler.Waiter]chan message.JobAnswer{},
 	}
 	e.peers = newPeers(e)
+	// The first step comes before the first connection, so that the core notices a pause
+	// of the process from then on. Without agents and jobs it has no actions.
+	e.core.Step(SinceBoot(), scheduler.Tick{})
 	return e
 }
 
@@ -136,12 +143,12 @@
 func (e *Entry) Ready() bool { return e.ready.Load() }
 
 // Submit schedules a job and returns its answer. On call, j.Deadline is relative to
-// now; Submit changes it to the time since boot. When ctx is done first, the job is
+// now; Submit changes it to the time since boot; j.ConnectedAt is a SinceBoot. When ctx is done first, the job is
 // abandoned and its tasks are stopped.
 func (e *Entry) Submit(ctx context.Context, j *scheduler.Job) message.JobAnswer {
 	w := scheduler.Waiter(e.lastWaiter.Add(1))
 	answer := make(chan message.JobAnswer, 1)
-	j.Deadline += sinceBoot()
+	j.Deadline += SinceBoot()
 	e.post(entryEvent{event: scheduler.JobSubmitted{Waiter: w, Job: j}, answer: answer})
 	select {
 	case a := <-answer:
@@ -271,7 +278,7 @@
 		}
 		break
 	}
-	for _, action := range e.core.Step(sinceBoot(), e.batch...) {
+	for _, action := range e.core.Step(SinceBoot(), e.batch...) {
 		e.perform(action)
 	}
 	e.ready.Store(e.core.Ready())
@@ -304,6 +311,10 @@
 		e.sessions.close(uint64(action.Session))
 	case scheduler.ShareCrashes:
 		e.peers.broadcast(action.Notice)
+	case scheduler.CloseIdleConnections:
+		if e.opts.CloseIdleConnections != nil {
+			e.opts.CloseIdleConnections(action.OpenedBefore)
+		}
 	case scheduler.JobEnded:
 		e.jobEnded(action)
 	case scheduler.Note:
--- a/pool/promises_test.go
+++ b/pool/promises_test.go
@@ -98,6 +98,29 @@
 	})
 }
 
+// TestRequestDeliveredAfterAFreezeDoesNotOverlap guards against two runs of a task at the
+// same time: an entry freezes, its client gives up and submits the job at another entry,
+// and TCP delivers the first request while the job runs there.
+func TestRequestDeliveredAfterAFreezeDoesNotOverlap(t *testing.T) {
+	for freeze := 600 * time.Millisecond; freeze <= 3*time.Second; freeze += 300 * time.Millisecond {
+		for sent := time.Duration(0); sent < freeze; sent += 200 * time.Millisecond {
+			sim := newSimulation(seeded{rand.New(rand.NewPCG(1, 0))}, 2, 4)
+			sim.noFailures = true
+			sim.advanceBy(200)
+			sim.entries[0].frozenUntil = sim.now + freeze
+			sim.advanceBy(int(sent / tick))
+			sim.submit(0, 2, 6000, 900*time.Millisecond)
+			sim.advanceBy(int(7 * time.Second / tick))
+			if sim.violation != "" {
+				t.Fatalf("frozen for %v, request sent after %v: %s", freeze, sent, sim.violation)
+			}
+			if sim.clients[0].completedAt == 0 {
+				t.Errorf("frozen for %v, request sent after %v: the job has not completed", freeze, sent)
+			}
+		}
+	}
+}
+
 // traceSeed is the seed whose simulation is printed event by event.
 var traceSeed = flag.Uint64("day", 0, "seed whose simulation is printed")
 
--- a/pool/scheduler/core.go
+++ b/pool/scheduler/core.go
@@ -33,9 +33,9 @@
 	// Heartbeat is the longest interval between two messages to an agent; see
 	// executor.Heartbeat.
 	Heartbeat = 100 * time.Millisecond
-	// pauseMargin is the safety margin for pauses of this process: a pause
-	// longer than Options.ResubmitDelay less pauseMargin interrupts its jobs,
-	// as callers may have submitted them elsewhere.
+	// pauseMargin is the safety margin for pauses of this process: callers may have
+	// submitted elsewhere what they sent earlier than Options.ResubmitDelay less
+	// pauseMargin.
 	pauseMargin = 300 * time.Millisecond
 	// shortPause is the time between two steps from which this process was paused. After
 	// more than Options.HeartbeatTimeout, its agents have given it up.
@@ -57,6 +57,7 @@
 // Invariants:
 //   - A task gets another run only after the previous run is known to have ended.
 //   - A job is refused only if this entry has started none of its tasks.
+//   - A job that its caller may have submitted elsewhere since is not started.
 //   - Each waiter gets one answer, as soon as it is known.
 type Core struct {
 	opts Options
@@ -64,6 +65,8 @@
 	// settlingSince is the time of the first step, or of the first one after a pause
 	// of this process in which agents may have dropped this entry.
 	settlingSince time.Duration
+	// outage is the last outage of this process.
+	outage outage
 	// startedAt is the time of the first step.
 	startedAt  time.Duration
 	lastExpiry time.Duration
@@ -161,17 +164,14 @@
 	if c.now == 0 || pause > c.opts.HeartbeatTimeout {
 		c.settlingSince = now
 	}
-	if c.now > 0 && pause > c.opts.ResubmitDelay-pauseMargin {
-		c.now = now
-		c.counters.ProcessPauses++
-		c.emit(Note{What: "entry was held up", Detail: pause.String()})
-		// The callers may have submitted their jobs elsewhere.
-		c.interrupt("the entry was held up for " + pause.String())
+	if c.now > 0 {
+		c.recordOutage(c.now, now)
 	}
 	if c.now > 0 && pause > shortPause && pause <= c.opts.HeartbeatTimeout {
 		c.excuseSilence(pause)
 	}
 	c.now = max(c.now, now)
+	c.handleOutage()
 	for _, ev := range events {
 		c.handle(ev)
 	}
--- a/pool/scheduler/event.go
+++ b/pool/scheduler/event.go
@@ -42,6 +42,9 @@
 	Attempts int
 	// Deadline is the time since boot at which the caller stops waiting.
 	Deadline time.Duration
+	// ConnectedAt is the time since boot at which the caller's connection was opened.
+	// The request may have been sent at any time since.
+	ConnectedAt time.Duration
 	// FirstRun is the number of the first run of each task.
 	FirstRun int64
 }
@@ -127,6 +130,11 @@
 // ShareCrashes sends what is new about crashes to the other entries.
 type ShareCrashes struct{ Notice *message.CrashNotice }
 
+// CloseIdleConnections closes the connections of callers that were opened before the
+// given time since boot and have no pending request; the others are to be closed after
+// their answer.
+type CloseIdleConnections struct{ OpenedBefore time.Duration }
+
 // JobEnded reports the outcome of a job, for the log and for other entries.
 type JobEnded struct {
 	Job     *Job
@@ -162,12 +170,13 @@
 	Detail  string
 }
 
-func (SendOrders) action()   {}
-func (Answer) action()       {}
-func (Disconnect) action()   {}
-func (ShareCrashes) action() {}
-func (JobEnded) action()     {}
-func (Note) action()         {}
+func (SendOrders) action()           {}
+func (Answer) action()               {}
+func (Disconnect) action()           {}
+func (ShareCrashes) action()         {}
+func (CloseIdleConnections) action() {}
+func (JobEnded) action()             {}
+func (Note) action()                 {}
 
 // Outcome is how a job ended.
 type Outcome uint8
@@ -186,8 +195,8 @@
 	JobAbandoned
 	// JobCancelled means that its caller has cancelled it.
 	JobCancelled
-	// JobInterrupted means that this entry stopped, or was paused for so long
-	// that the caller may have submitted the job elsewhere.
+	// JobInterrupted means that this entry stopped, or that the caller may have
+	// submitted the job elsewhere during an outage of this entry.
 	JobInterrupted
 	// JobRepeated means that the job had already completed.
 	JobRepeated
--- a/pool/scheduler/job.go
+++ b/pool/scheduler/job.go
@@ -28,6 +28,9 @@
 	reviewAt time.Duration
 	// suspect is set if endpoints have crashed under tasks of the job.
 	suspect *suspect
+	// mayRunElsewhere is set if the caller may have submitted the job at another entry
+	// before this one read it.
+	mayRunElsewhere bool
 }
 
 type taskState uint8
@@ -84,6 +87,7 @@
 	}
 	if j := c.jobs[in.ID]; j != nil {
 		j.waiters = append(j.waiters, w)
+		j.ConnectedAt = max(j.ConnectedAt, in.ConnectedAt)
 		c.waiters[w] = j
 		return
 	}
@@ -97,7 +101,10 @@
 	c.waiting += in.Tasks
 	c.jobOrder = append(c.jobOrder, j)
 	j.suspect = c.suspects.Get(in.ID)
+	j.mayRunElsewhere = c.mayBeResubmitted(in.ConnectedAt)
 	switch {
+	case j.mayRunElsewhere:
+		c.finish(j, JobInterrupted, "the request may be older than an outage of this entry")
 	case j.suspect != nil && j.suspect.givenUp:
 		c.finishGivenUp(j, "endpoints crashed under an earlier submission")
 	case c.stopping:
@@ -173,7 +180,7 @@
 
 func (c *Core) answerFor(j *job, outcome Outcome, cause string) message.JobAnswer {
 	answer := message.JobAnswer{Failed: true, Detail: cause, Verdict: verdict.MayHaveRun}
-	if j.runs == 0 && j.suspect == nil {
+	if j.runs == 0 && j.suspect == nil && !j.mayRunElsewhere {
 		answer.Verdict = verdict.NotRun
 	}
 	switch outcome {
--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -55,6 +55,8 @@
 	incarnation uint64
 	frozenUntil time.Duration
 	inbox       []scheduler.Event
+	// transmissions are the events of clients' connections in transit.
+	transmissions []*transmission
 }
 
 // modelAgent is an agent's core, its endpoint, and the calls between them.
@@ -116,10 +118,11 @@
 func (sim *simulation) bootEntry(i int) {
 	e := sim.entries[i]
 	sim.sessions++
-	e.incarnation, e.inbox, e.frozenUntil = sim.sessions, nil, 0
+	e.incarnation, e.inbox, e.transmissions, e.frozenUntil = sim.sessions, nil, nil, 0
 	e.core = scheduler.New(scheduler.Options{
 		HeartbeatTimeout: heartbeatTimeout, Lease: lease, StopTime: stopTime, ResubmitDelay: resubmitDelay, MaxWaiting: 1000,
 	})
+	e.core.Step(max(sim.now, tick), scheduler.Tick{})
 }
 
 func (sim *simulation) bootAgent(i int) {
@@ -138,6 +141,7 @@
 	}
 	sim.connect()
 	sim.deliver()
+	sim.deliverTransmissions()
 	for i, a := range sim.agents {
 		if sim.now >= a.frozenUntil {
 			sim.stepAgent(i)
