--- a/validation/struct.go
+++ b/validation/struct.go
@@ -27,7 +27,7 @@
 		return yamlName(field)
 	})
 	register(v, "address", func(field validator.FieldLevel) bool {
-		return isAddress(field.Field().String(), 1)
+		return IsAddress(field.Field().String())
 	})
 	register(v, "service_name", func(field validator.FieldLevel) bool {
 		return serviceName.MatchString(field.Field().String())
@@ -48,6 +48,9 @@
 	}
 }
 
+// IsAddress reports whether text has the form host:port with a port from 1 to 65535.
+func IsAddress(text string) bool { return isAddress(text, 1) }
+
 // isAddress reports whether text has the form host:port with a port of at least
 // minPort.
 func isAddress(text string, minPort uint64) bool {
