Agents: runs on a leaving endpoint count until its process has ended

Cause: the agent took the announcement of the end for the end. It reported the runs as lost at once, without asking the endpoint or waiting for the leases.

Ruled out: a start without a reported end (the agent's report came first).

Change: an endpoint that has left gets no starts, repeated ones included, and its leases are no longer renewed. Its runs end when they are listed as ended, when a call finds nothing listening, when a later incarnation answers, or with their leases.

--- a/pool/executor/core.go
+++ b/pool/executor/core.go
@@ -180,6 +180,7 @@
 	c.expireLeases()
 	c.handle(ev)
 	c.repeatStops()
+	c.removeLeftEndpoint()
 	c.pollEndpoint()
 	c.updateReadiness()
 	c.updateConfinement()
--- a/pool/executor/endpoint.go
+++ b/pool/executor/endpoint.go
@@ -22,7 +22,10 @@
 	capacityUnknown bool
 	labels          []string
 	leaving         bool
-	present         bool
+	// left is set when the endpoint has announced its end and its process may still have
+	// runs.
+	left    bool
+	present bool
 	// crashed is set when nothing listened at the endpoint's address.
 	crashed bool
 	// version rises with each change that is reported to entries.
@@ -106,7 +109,7 @@
 func (c *Core) endpointAnnounced(ev EndpointAnnounced) {
 	e := &c.endpoint
 	switch {
-	case ev.EndpointIncarnation < e.incarnation, e.name == ev.Name && e.incarnation == ev.EndpointIncarnation && ev.Seq <= e.seq:
+	case ev.EndpointIncarnation < e.incarnation, e.name == ev.Name && e.incarnation == ev.EndpointIncarnation && (ev.Seq <= e.seq || e.left):
 		return
 	case !e.present || e.name != ev.Name || ev.EndpointIncarnation > e.incarnation:
 		c.adopt(ev)
@@ -142,11 +145,25 @@
 	c.emit(Note{What: "endpoint adopted", Subject: ev.Name, Detail: ev.Service})
 }
 
+// endpointLeft handles the announcement of an endpoint that it ends. Its process may take a
+// moment to end its runs, which count as alive until a call finds nothing listening, or
+// their leases, which are no longer renewed, have expired.
 func (c *Core) endpointLeft(name string) {
-	if !c.endpoint.present || c.endpoint.name != name {
+	e := &c.endpoint
+	if !e.present || e.left || e.name != name {
 		return
 	}
-	c.removeEndpoint("endpoint left")
+	e.left, e.leaving, e.wantPromptPoll = true, true, true
+	c.endpointChanged()
+	c.removeLeftEndpoint()
+}
+
+// removeLeftEndpoint removes an endpoint that has left, once all its runs have ended.
+func (c *Core) removeLeftEndpoint() {
+	e := &c.endpoint
+	if e.left && (c.runs.Len() == 0 || e.leasesExpired(c.now)) {
+		c.removeEndpoint("endpoint left")
+	}
 }
 
 // endpointCrashed handles a call, sent at the given time, that found nothing listening
@@ -192,7 +209,7 @@
 	e := &c.endpoint
 	// name, incarnation and seq are kept, so that a delayed announcement of this
 	// incarnation is not adopted again.
-	e.reconciled, e.present = false, false
+	e.reconciled, e.present, e.left = false, false, false
 	e.waitingPoll, e.promptPoll, e.wantPromptPoll = 0, 0, false
 	c.endpointChanged()
 }
--- a/pool/executor/event.go
+++ b/pool/executor/event.go
@@ -53,7 +53,7 @@
 	ClockMillis int64
 }
 
-// EndpointLeft reports that an endpoint has ended, and with it all its runs.
+// EndpointLeft reports that an endpoint is about to end, and with it all its runs.
 type EndpointLeft struct{ Name string }
 
 // Clock is a reading of the endpoint's monotonic clock in milliseconds; Known is
--- a/pool/executor/executor_test.go
+++ b/pool/executor/executor_test.go
@@ -251,6 +251,73 @@
 	}
 }
 
+// TestRunsOfALeftEndpointCountUntilItsProcessHasEnded guards against two runs of a task at
+// the same time: an endpoint announces its end while a task runs there and takes a moment
+// to end it.
+func TestRunsOfALeftEndpointCountUntilItsProcessHasEnded(t *testing.T) {
+	leave := func(t *testing.T) (*harness, message.RunRef) {
+		r := readyHarness(t)
+		r.orders(1, "a", 1, 1000)
+		start := actionsOf[StartCall](r)[0]
+		r.step(StartAnswered{Call: start.Call, Run: start.Run, Result: StartAccepted, Clock: Clock{6100, true}})
+		for range 10 {
+			r.now += 100 * time.Millisecond
+			r.heartbeat(1)
+		}
+		r.step(PollAnswered{Call: r.core.endpoint.waitingPoll, Result: PollAccepted, EndpointIncarnation: 1, Clock: Clock{7100, true},
+			Running: []AliveRun{{Run: start.Run}}})
+		r.step(EndpointLeft{Name: "i-1"})
+		if ends := r.ends(); len(ends) != 0 {
+			t.Errorf("ends when the endpoint announces that it leaves: %+v", ends)
+		}
+		for _, poll := range actionsOf[PollCall](r) {
+			if poll.UntilMillis != 0 {
+				t.Error("a poll renews the leases of an endpoint that has left")
+			}
+		}
+		return r, start.Run
+	}
+	t.Run("its process has ended", func(t *testing.T) {
+		r, ref := leave(t)
+		r.now += 20 * time.Millisecond
+		r.step(PollAnswered{Call: r.core.endpoint.promptPoll, Result: PollUnreachable})
+		if ends := r.ends(); len(ends) != 1 || ends[0].Run != ref || ends[0].Outcome != message.RunLost {
+			t.Errorf("ends %+v, want the run as lost", ends)
+		}
+		if n := r.core.Counters().Crashes; n != 0 {
+			t.Errorf("a planned end counts as %d crashes", n)
+		}
+	})
+	t.Run("its task completes before", func(t *testing.T) {
+		r, ref := leave(t)
+		r.step(PollAnswered{Call: r.core.endpoint.promptPoll, Result: PollAccepted, EndpointIncarnation: 1, Clock: Clock{7110, true},
+			Ended: []EndedRun{{Seq: 1, Run: ref, Outcome: message.RunDone}}})
+		if ends := r.ends(); len(ends) != 1 || ends[0].Outcome != message.RunDone {
+			t.Errorf("ends %+v, want the run as done", ends)
+		}
+		if r.core.endpoint.present {
+			t.Error("the endpoint is kept without runs")
+		}
+	})
+	t.Run("it is silent until its leases have expired", func(t *testing.T) {
+		r, _ := leave(t)
+		ended := time.Duration(0)
+		for left := r.now; ended == 0 && r.now-left < 3*time.Second; {
+			r.now += 10 * time.Millisecond
+			r.heartbeat(1)
+			if len(r.ends()) > 0 {
+				ended = r.now - left
+			}
+		}
+		if ended < time.Second || ended > 1300*time.Millisecond {
+			t.Errorf("the run ended %v after the endpoint had left, want after its lease of 1 s", ended)
+		}
+		if r.core.endpoint.present {
+			t.Error("the endpoint is kept without runs")
+		}
+	})
+}
+
 func TestEndsAreReportedUntilAcknowledged(t *testing.T) {
 	r := readyHarness(t)
 	r.orders(1, "a", 1, 1000)
--- a/pool/executor/poll.go
+++ b/pool/executor/poll.go
@@ -54,7 +54,7 @@
 		WaitMillis: wait.Milliseconds(), Timeout: wait + e.roundTrip.timeout(),
 		NewConnection: e.pollFailures >= failuresBeforeReconnect && e.answeredAt < e.pollFailedSince,
 	}
-	if c.runs.Len() > 0 && c.now-e.answeredAt < renewLimit {
+	if c.runs.Len() > 0 && !e.left && c.now-e.answeredAt < renewLimit {
 		call.UntilMillis = e.renew(c.now, c.opts.Lease)
 	}
 	c.emit(call)
--- a/pool/executor/run.go
+++ b/pool/executor/run.go
@@ -210,7 +210,7 @@
 		c.end(r, message.RunLost)
 		return
 	}
-	if !e.present || r.adoption != e.adoption || r.stopWanted || r.starts >= maxStarts || c.overCommitted() {
+	if !e.present || e.left || r.adoption != e.adoption || r.stopWanted || r.starts >= maxStarts || c.overCommitted() {
 		c.startUnconfirmed(r)
 		return
 	}
@@ -253,7 +253,7 @@
 // or an expired lease.
 func (c *Core) startAgain(r *run, ev StartAnswered) {
 	switch {
-	case r.stopWanted, r.starts >= maxStarts, r.uncertain() && r.adoption != c.endpoint.adoption:
+	case r.stopWanted, c.endpoint.left, r.starts >= maxStarts, r.uncertain() && r.adoption != c.endpoint.adoption:
 		c.startRejected(r, message.CauseStale)
 		return
 	case c.overCommitted():
--- a/pool/node/agent.go
+++ b/pool/node/agent.go
@@ -114,8 +114,8 @@
 // taken effect.
 func (a *Agent) Announce(ev executor.EndpointAnnounced) { a.postAndWait(ev) }
 
-// Leave reports that the named endpoint has ended, and returns when that has taken
-// effect.
+// Leave reports that the named endpoint is about to end, and returns when that has
+// taken effect.
 func (a *Agent) Leave(name string) { a.postAndWait(executor.EndpointLeft{Name: name}) }
 
 // Drain refuses new tasks and returns nil when the last one has ended and its end
