--- a/pool/node/entry.go
+++ b/pool/node/entry.go
@@ -28,9 +28,7 @@
 	Metrics *telemetry.Registry
 	Log     *telemetry.EventLog
 	Version string
-	// CloseIdleConnections, if set, closes the connections of callers that were opened
-	// before the given time since boot and have no pending request; the others are to be
-	// closed after their answer.
+	// CloseIdleConnections, if set, carries out scheduler.CloseIdleConnections.
 	CloseIdleConnections func(openedBefore time.Duration)
 }
 
--- a/pool/scheduler/event.go
+++ b/pool/scheduler/event.go
@@ -130,8 +130,8 @@
 // ShareCrashes sends what is new about crashes to the other entries.
 type ShareCrashes struct{ Notice *message.CrashNotice }
 
-// CloseIdleConnections closes the connections of callers that were opened before the
-// given time since boot and have no pending request; the others are to be closed after
+// CloseIdleConnections closes the connections of callers that are opened before the given
+// time since boot, a little ahead: those without a request then, and the others after
 // their answer.
 type CloseIdleConnections struct{ OpenedBefore time.Duration }
 
