--- a/internal/knownred/knownred.go
+++ b/internal/knownred/knownred.go
@@ -33,6 +33,22 @@
 	}
 }
 
+// Seen reports a fault that the test shows in some of its runs only: a listed test is
+// skipped with a message, any other fails.
+func Seen(t testing.TB, format string, args ...any) {
+	t.Helper()
+	seen := fmt.Sprintf(format, args...)
+	listed, err := isListed(t.Name())
+	switch {
+	case err != nil:
+		t.Fatal(err)
+	case listed:
+		t.Skipf("known red: %s", seen)
+	default:
+		t.Error(seen)
+	}
+}
+
 // isListed reports whether an entry of the list begins with the test's name.
 func isListed(test string) (bool, error) {
 	text, err := read()
