Evacuation: no starts in availability zones that the operator has evacuated

Change: `pool/evacuation` holds the state, one version of the operator's history each, and its merge. Agents refuse starts in an evacuated zone, also by repetition, and with the setting `evacuation.within` wait for the state at their start and after a pause of more than 2 s. Entries place nothing there, estimate waits from the remaining capacity, and use cold endpoints little by little. States spread with orders, reports and the messages between entries. Entries that have sent no state get the cause `leaving`, as older ones end by themselves on an unknown cause; this release counts unknown causes as unreachable.

--- a/internal/layers/platform_names_test.go
+++ b/internal/layers/platform_names_test.go
@@ -13,6 +13,7 @@
 	"run-start", "run-stop", "log-append", "log-read", "log-newest", "keyed.op", "task_spec", "fencing_token",
 	"seen_upto", "until_ms", "free_capacity", "latency_slo_ms", "est_duration_ms", "clock_ms",
 	"best_effort", "X-Deadline-Ms", "X-Expect-Instance", "/instances/", "/readiness",
+	"evacuate/", "cold_left_ms", "evacuate_ms",
 }
 
 // platformFolders lists the top-level folders that may contain platformNames.
--- a/message/run.go
+++ b/message/run.go
@@ -58,6 +58,9 @@
 	Stops           []RunRef   `cbor:"4,keyasint,omitempty"`
 	// Demand replaces the demand sent before; nil leaves it unchanged.
 	Demand *RunDemand `cbor:"5,keyasint,omitempty"`
+	// Evacuation is the newest state that the entry knows: in the first message of a
+	// session for which it knows one, and on each change.
+	Evacuation *EvacuationState `cbor:"6,keyasint,omitempty"`
 }
 
 // RunOutcome is the way in which a run ended.
@@ -118,12 +121,16 @@
 	CauseInvalid
 	// CauseIsolated means that a run of another isolated job is on the endpoint.
 	CauseIsolated
+	// CauseEvacuated means that the endpoint's availability zone is evacuated, or that the
+	// agent does not know yet whether it is. Entries that have sent no EvacuationState get
+	// CauseLeaving instead, as earlier releases don't know this cause.
+	CauseEvacuated
 )
 
 var runCauseNames = [...]string{
 	CauseNone: "none", CauseNoCapacity: "room", CauseStale: "stale", CauseLeaving: "leaving",
 	CauseUnreachable: "unreachable", CauseOverloaded: "overloaded", CauseStaleNumber: "number", CauseInvalid: "invalid",
-	CauseIsolated: "isolated",
+	CauseIsolated: "isolated", CauseEvacuated: "evacuated",
 }
 
 // String returns the cause's name.
@@ -156,6 +163,10 @@
 	Labels   []string  `cbor:"5,keyasint,omitempty"`
 	// Ready is set when the endpoint takes new tasks.
 	Ready bool `cbor:"6,keyasint,omitempty"`
+	// Zone is the endpoint's availability zone.
+	Zone string `cbor:"7,keyasint,omitempty"`
+	// ColdMillis is the time in milliseconds for which the endpoint stays slow.
+	ColdMillis int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // RunReport carries an agent's report to an entry. A message without content is
@@ -196,6 +207,9 @@
 	Confined bool `cbor:"11,keyasint,omitempty"`
 	// ConfinedMilliCPU is what the runs of confined jobs use, in thousandths of a core.
 	ConfinedMilliCPU int64 `cbor:"12,keyasint,omitempty"`
+	// Evacuation is the newest state that the agent knows: in the first report of a
+	// session, and on each change.
+	Evacuation *EvacuationState `cbor:"13,keyasint,omitempty"`
 }
 
 // CompletedJobs notifies other entries of completed pooled jobs, so that a late
@@ -230,4 +244,6 @@
 type EntryState struct {
 	// Waiting is the number of jobs, by queue, of which no task has started.
 	Waiting map[string]int `cbor:"1,keyasint,omitempty"`
+	// Evacuation is the newest state that the entry knows.
+	Evacuation *EvacuationState `cbor:"2,keyasint,omitempty"`
 }
--- a/pool/executor/core.go
+++ b/pool/executor/core.go
@@ -24,6 +24,11 @@
 	// across all incarnations of the endpoint. An endpoint that has seen a higher
 	// token rejects the call.
 	FirstFence int64
+	// Zone is the agent's availability zone, for endpoints that announce none.
+	Zone string
+	// EvacuationRequired is set where the operator evacuates zones: the endpoint takes no
+	// tasks before the agent has learned which ones.
+	EvacuationRequired bool
 }
 
 const (
@@ -89,6 +94,8 @@
 //   - The summed needs of all runs that may be alive at the endpoint fit its
 //     capacity; a run counts from before its start is sent until its end is known.
 //     After a long pause of this process the capacity is unknown until it is announced.
+//   - No start is sent while the endpoint's zone is evacuated or, with
+//     Options.EvacuationRequired, not known not to be.
 //   - A run is reported as refused only when the endpoint can no longer start it.
 //   - The runs of an entry that sends nothing for Options.HeartbeatTimeout are
 //     stopped, and no order that it decided on before is accepted.
@@ -120,14 +127,15 @@
 	stopping bool
 	drained  bool
 	// wasReady is the readiness that entries were last notified of.
-	wasReady bool
-	counters Counters
+	wasReady   bool
+	evacuation evacuationState
+	counters   Counters
 }
 
 // Counters counts decisions since the start of the process.
 type Counters struct {
 	Accepted int64
-	Refused  [message.CauseIsolated + 1]int64
+	Refused  [message.CauseEvacuated + 1]int64
 	Ended    [message.RunRefused + 1]int64
 	// Orphaned counts runs that were stopped because their entry was dropped.
 	Orphaned int64
@@ -144,6 +152,8 @@
 	// Crashes counts crashes of the endpoint while runs were on it, CrashedRuns these
 	// runs.
 	Crashes, CrashedRuns int64
+	// EvacuatedStarts counts starts sent while the zone was evacuated: always 0.
+	EvacuatedStarts int64
 }
 
 // New returns a core that has no endpoint and no sessions.
@@ -171,6 +181,7 @@
 	}
 	if c.now > 0 && now-c.now > capacityAge {
 		c.endpoint.capacityUnknown = true
+		c.evacuation.confirmed, c.evacuation.resumedAt = false, now
 	}
 	c.now = max(c.now, now)
 	c.actions = nil
@@ -181,6 +192,7 @@
 	c.handle(ev)
 	c.repeatStops()
 	c.removeLeftEndpoint()
+	c.trackEvacuation()
 	c.pollEndpoint()
 	c.updateReadiness()
 	c.updateConfinement()
@@ -211,6 +223,8 @@
 		c.stopAnswered(ev)
 	case PollAnswered:
 		c.pollAnswered(ev)
+	case EvacuationLearned:
+		c.learnEvacuation(ev)
 	case StopRequested:
 		c.stopping = true
 	case Tick:
--- a/pool/executor/endpoint.go
+++ b/pool/executor/endpoint.go
@@ -21,7 +21,10 @@
 	// announcement.
 	capacityUnknown bool
 	labels          []string
-	leaving         bool
+	zone            string
+	// coldUntil is the time at which the endpoint is expected to run at full speed.
+	coldUntil time.Duration
+	leaving   bool
 	// left is set when the endpoint has announced its end and its process may still have
 	// runs.
 	left    bool
@@ -79,14 +82,14 @@
 // ready reports whether the endpoint takes new tasks.
 func (c *Core) ready() bool {
 	e := &c.endpoint
-	return e.present && e.reconciled && !e.capacityUnknown && !e.leaving && !e.mismatched && !c.stopping && c.now-e.answeredAt < unreachableAfter
+	return e.present && e.reconciled && !c.startsBarred() && !e.capacityUnknown && !e.leaving && !e.mismatched && !c.stopping && c.now-e.answeredAt < unreachableAfter
 }
 
 func (c *Core) describe(en *entry) *message.PoolEndpoint {
 	e := &c.endpoint
 	return &message.PoolEndpoint{
 		Name: e.name, Adoption: e.adoption, Service: e.service, Capacity: e.capacity, Labels: e.labels,
-		Ready: c.ready() && en.releasedAt == 0,
+		Ready: c.ready() && en.releasedAt == 0, Zone: c.zone(), ColdMillis: max(e.coldUntil-c.now, 0).Milliseconds(),
 	}
 }
 
@@ -115,15 +118,17 @@
 		c.adopt(ev)
 	}
 	e.seq, e.capacityUnknown = ev.Seq, false
-	if !sameEndpoint(e, ev) {
-		e.service, e.capacity, e.labels, e.leaving = ev.Service, ev.Capacity, ev.Labels, ev.Leaving
+	coldChanged := c.updateCold(ev.ColdLeft)
+	if !sameEndpoint(e, ev) || coldChanged {
+		e.service, e.capacity, e.labels, e.zone, e.leaving = ev.Service, ev.Capacity, ev.Labels, ev.Zone, ev.Leaving
 		c.endpointChanged()
 		c.emit(Note{What: "endpoint changed", Subject: e.name, Detail: ev.Service})
 	}
 }
 
 func sameEndpoint(e *endpoint, ev EndpointAnnounced) bool {
-	return e.service == ev.Service && e.capacity == ev.Capacity && e.leaving == ev.Leaving && slices.Equal(e.labels, ev.Labels)
+	return e.service == ev.Service && e.capacity == ev.Capacity && e.zone == ev.Zone && e.leaving == ev.Leaving &&
+		slices.Equal(e.labels, ev.Labels)
 }
 
 // adopt replaces the endpoint by an incarnation that is new to this process. The
--- a/pool/executor/entry.go
+++ b/pool/executor/entry.go
@@ -52,7 +52,8 @@
 	sent int
 
 	// sentCrash is the version of the last crash reported on this session.
-	sentCrash uint64
+	sentCrash  uint64
+	evacuation entryEvacuation
 
 	offered      message.Resources
 	offeredUntil time.Duration
@@ -85,6 +86,7 @@
 	}
 	en.session, en.lastHeard, en.orders, en.synced, en.sent, en.sentVersion = ev.Session, c.now, 0, false, 0, 0
 	en.sentCrash = 0
+	en.evacuation = entryEvacuation{reported: -1}
 	en.demand, en.offered = message.RunDemand{}, message.Resources{}
 	c.sessions[ev.Session] = en
 }
@@ -198,6 +200,7 @@
 	en.lastHeard = c.now
 	en.orders = orders.Seq
 	en.acknowledge(orders.ReportTimestamp)
+	c.learnEvacuationFrom(en, orders)
 	if orders.Demand != nil {
 		en.demand = *orders.Demand
 	}
@@ -239,7 +242,7 @@
 		useful := en.demand.Count > 0 && en.demand.Need.Fits(free)
 		switch {
 		case !en.synced, en.sent < len(en.ends), en.sentCrash < c.crashVersion, en.sentVersion != c.endpoint.version,
-			en.confined != c.confinement.active:
+			en.confined != c.confinement.active, en.evacuation.reportedChange != c.evacuation.changes:
 		case free != en.free && (useful || sinceLastSent >= minReportInterval):
 		case slowdownChanged(slowdown, en.slowdown) && sinceLastSent >= minReportInterval:
 		case sinceLastSent >= Heartbeat:
@@ -277,6 +280,7 @@
 		r.Endpoint = c.describe(en)
 		en.sentVersion = c.endpoint.version
 	}
+	c.reportEvacuation(en, r)
 	en.free, en.slowdown, en.confined, en.lastSent = free, slowdown, c.confinement.active, c.now
 	c.emit(SendReport{Session: en.session, Report: r})
 }
--- a/pool/executor/event.go
+++ b/pool/executor/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"marjoramlug.example/marjoramlug/message"
+	"marjoramlug.example/marjoramlug/pool/evacuation"
 )
 
 // Session identifies a connection to an entry; numbers are never reused and never
@@ -48,6 +49,10 @@
 	Service  string
 	Capacity message.Resources
 	Labels   []string
+	// Zone is the endpoint's availability zone; empty if that of its agent.
+	Zone string
+	// ColdLeft is the time for which the endpoint stays slow.
+	ColdLeft time.Duration
 	Leaving  bool
 	// ClockMillis is the endpoint's monotonic clock in milliseconds.
 	ClockMillis int64
@@ -159,6 +164,14 @@
 	Outcome message.RunOutcome
 }
 
+// EvacuationLearned is a state of the evacuated zones that this process has read from the
+// operator's history.
+type EvacuationLearned struct {
+	State evacuation.State
+	// ReadAt is the time at which the read began.
+	ReadAt time.Duration
+}
+
 // StopRequested begins a graceful stop of the agent.
 type StopRequested struct{}
 
@@ -174,6 +187,7 @@
 func (StartAnswered) event()     {}
 func (StopAnswered) event()      {}
 func (PollAnswered) event()      {}
+func (EvacuationLearned) event() {}
 func (StopRequested) event()     {}
 func (Tick) event()              {}
 
@@ -248,15 +262,19 @@
 // notice.
 type EndpointCrashed struct{ Crash *message.EndpointCrash }
 
+// EvacuationProgressed reports, for the log, a phase of the evacuation of the endpoint's zone.
+type EvacuationProgressed struct{ Progress evacuation.Progress }
+
 // Drained reports, after StopRequested, that no run and no unacknowledged end is
 // left.
 type Drained struct{}
 
-func (StartCall) action()       {}
-func (StopCall) action()        {}
-func (PollCall) action()        {}
-func (SendReport) action()      {}
-func (CloseSession) action()    {}
-func (Note) action()            {}
-func (EndpointCrashed) action() {}
-func (Drained) action()         {}
+func (StartCall) action()            {}
+func (StopCall) action()             {}
+func (PollCall) action()             {}
+func (SendReport) action()           {}
+func (CloseSession) action()         {}
+func (Note) action()                 {}
+func (EndpointCrashed) action()      {}
+func (EvacuationProgressed) action() {}
+func (Drained) action()              {}
--- a/pool/executor/run.go
+++ b/pool/executor/run.go
@@ -105,6 +105,8 @@
 	switch {
 	case c.stopping, c.endpoint.leaving, en.releasedAt != 0:
 		return message.CauseLeaving
+	case c.startsBarred():
+		return message.CauseEvacuated
 	case !c.ready():
 		return message.CauseUnreachable
 	case !fresh:
@@ -130,6 +132,9 @@
 
 func (c *Core) refuse(en *entry, ref message.RunRef, cause message.RunCause) {
 	c.counters.Refused[cause]++
+	if en != nil && cause == message.CauseEvacuated && !en.evacuation.received {
+		cause = message.CauseLeaving
+	}
 	if en != nil {
 		en.addEnd(message.RunEnd{Run: ref, Outcome: message.RunRefused, Cause: cause})
 	}
@@ -141,6 +146,9 @@
 		r.firstStart = c.now
 	}
 	r.startSent = c.now
+	if c.evacuation.active {
+		c.counters.EvacuatedStarts++
+	}
 	call := c.nextCall()
 	r.conclusiveFrom, r.fence, r.adoption = 0, c.endpoint.fence, c.endpoint.adoption
 	c.emit(StartCall{
@@ -200,7 +208,8 @@
 // startUnanswered handles a start without an answer. It raises the fence, so that
 // the endpoint can no longer carry this start out later, and sends the start of the
 // same run again: an endpoint that has already started the run accepts it without
-// another effect. After maxStarts, or when the endpoint has changed, a poll decides.
+// another effect. After maxStarts, when the endpoint has changed, or while its zone is
+// evacuated, a poll decides.
 func (c *Core) startUnanswered(r *run) {
 	e := &c.endpoint
 	e.roundTrip.timedOut()
@@ -210,7 +219,7 @@
 		c.end(r, message.RunLost)
 		return
 	}
-	if !e.present || e.left || r.adoption != e.adoption || r.stopWanted || r.starts >= maxStarts || c.overCommitted() {
+	if !e.present || e.left || r.adoption != e.adoption || r.stopWanted || r.starts >= maxStarts || c.startsBarred() || c.overCommitted() {
 		c.startUnconfirmed(r)
 		return
 	}
@@ -256,6 +265,9 @@
 	case r.stopWanted, c.endpoint.left, r.starts >= maxStarts, r.uncertain() && r.adoption != c.endpoint.adoption:
 		c.startRejected(r, message.CauseStale)
 		return
+	case c.startsBarred():
+		c.startRejected(r, message.CauseEvacuated)
+		return
 	case c.overCommitted():
 		c.startRejected(r, message.CauseNoCapacity)
 		return
--- a/pool/node/agent.go
+++ b/pool/node/agent.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"marjoramlug.example/marjoramlug/message"
+	"marjoramlug.example/marjoramlug/pool/evacuation"
 	"marjoramlug.example/marjoramlug/pool/executor"
 	"marjoramlug.example/marjoramlug/pool/subset"
 	"marjoramlug.example/marjoramlug/settings"
@@ -67,6 +68,7 @@
 		settings: s, opts: o, sessions: newSessions(),
 		core: executor.New(executor.Options{
 			Lease: s.Timing.Lease, HeartbeatTimeout: s.Timing.HeartbeatTimeout, FirstFence: time.Now().UnixMilli(),
+			Zone: s.Zone, EvacuationRequired: s.Evacuation != nil,
 		}),
 		events:  make(chan agentEvent, eventQueue),
 		drained: make(chan struct{}),
@@ -114,6 +116,12 @@
 // taken effect.
 func (a *Agent) Announce(ev executor.EndpointAnnounced) { a.postAndWait(ev) }
 
+// LearnEvacuation processes a state of the evacuated zones that was read from the operator's
+// history. readAt is the time since boot at which the read began.
+func (a *Agent) LearnEvacuation(s evacuation.State, readAt time.Duration) {
+	a.post(executor.EvacuationLearned{State: s, ReadAt: readAt})
+}
+
 // Leave reports that the named endpoint is about to end, and returns when that has
 // taken effect.
 func (a *Agent) Leave(name string) { a.postAndWait(executor.EndpointLeft{Name: name}) }
@@ -202,6 +210,8 @@
 		a.note(action)
 	case executor.EndpointCrashed:
 		a.logCrash(action.Crash)
+	case executor.EvacuationProgressed:
+		logEvacuation(a.opts.Log, action.Progress)
 	case executor.Drained:
 		close(a.drained)
 	}
@@ -285,10 +295,22 @@
 	m.Set("room.offers", counters.Offers)
 	m.Set("endpoint.crashes", counters.Crashes)
 	m.Set("runs.crashed", counters.CrashedRuns)
+	active, evacuated := a.core.Evacuated()
+	m.Set("evacuation.active", 0)
+	if active {
+		m.Set("evacuation.active", 1)
+	}
+	m.Set("evacuation.seconds", int64(evacuated/time.Second))
+	m.Set("evacuation.starts", counters.EvacuatedStarts)
 	publishEnds(m, counters.Ended[:], counters.Refused[:])
 	publishOmitted(m, a.opts.Log)
 }
 
+func logEvacuation(l *telemetry.EventLog, p evacuation.Progress) {
+	l.Lifecycle().Str("event", string(p.Phase)).Str("zone", p.Zone).Int64("version", p.Version).Str("source", p.Source).
+		Int("endpoints", p.Endpoints).Int("runs", p.Runs).Msg("")
+}
+
 func publishOmitted(m *telemetry.Registry, l *telemetry.EventLog) {
 	if n := l.TakeOmitted(); n > 0 {
 		m.Add("log.omitted", n)
--- a/pool/node/entry.go
+++ b/pool/node/entry.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"marjoramlug.example/marjoramlug/message"
+	"marjoramlug.example/marjoramlug/pool/evacuation"
 	"marjoramlug.example/marjoramlug/pool/scheduler"
 	"marjoramlug.example/marjoramlug/settings"
 	"marjoramlug.example/marjoramlug/telemetry"
@@ -118,7 +119,7 @@
 			e.step(ev)
 		case <-publish.C:
 			e.publish()
-			e.peers.broadcastState(e.core.WaitingJobs())
+			e.peers.broadcast(entryState(e.core))
 		}
 	}
 }
@@ -137,6 +138,12 @@
 // SetPeers replaces the addresses of the other entries.
 func (e *Entry) SetPeers(addresses []string) { e.peers.set(addresses) }
 
+// LearnEvacuation processes a state of the evacuated zones that was read from the operator's
+// history.
+func (e *Entry) LearnEvacuation(s evacuation.State) {
+	e.post(entryEvent{event: scheduler.EvacuationLearned{State: s, Source: "store"}})
+}
+
 // Ready reports whether at least one endpoint accepts tasks.
 func (e *Entry) Ready() bool { return e.ready.Load() }
 
@@ -233,13 +240,13 @@
 // Connected implements transport.Handler.
 func (e *Entry) Connected(c transport.Conn) {
 	if c.Peer().Role != message.RoleAgent {
-		e.peers.sendRecentCrashes(c)
+		e.peers.sendState(c)
 		return
 	}
 	id := e.sessions.add(c)
 	peer := c.Peer()
 	e.post(entryEvent{event: scheduler.AgentConnected{
-		Session: scheduler.Session(id), Agent: peer.Name, Incarnation: peer.Incarnation,
+		Session: scheduler.Session(id), Agent: peer.Name, Incarnation: peer.Incarnation, Zone: peer.Zone,
 	}})
 }
 
@@ -309,6 +316,10 @@
 		e.sessions.close(uint64(action.Session))
 	case scheduler.ShareCrashes:
 		e.peers.broadcast(action.Notice)
+	case scheduler.ShareEvacuation:
+		e.peers.broadcast(entryState(e.core))
+	case scheduler.EvacuationProgressed:
+		logEvacuation(e.opts.Log, action.Progress)
 	case scheduler.CloseIdleConnections:
 		if e.opts.CloseIdleConnections != nil {
 			e.opts.CloseIdleConnections(action.OpenedBefore)
@@ -352,6 +363,12 @@
 	m.Set("endpoint.crashes", counters.Crashes)
 	m.Set("entry.stalls", counters.ProcessPauses)
 	m.Set("jobs.open", int64(e.core.OpenJobs()))
+	if s := e.core.Evacuation(); s != nil {
+		m.Set("evacuation.zones", int64(len(s.Zones)))
+		m.Set("evacuation.version", s.Version)
+	}
+	m.Set("evacuation.runs", int64(e.core.EvacuatedRuns()))
+	m.Set("evacuation.starts", counters.EvacuatedStarts)
 	publishEnds(m, counters.Ended[:], counters.Refused[:])
 	publishOmitted(m, e.opts.Log)
 }
--- a/pool/node/peers.go
+++ b/pool/node/peers.go
@@ -58,7 +58,7 @@
 	d.peers.mu.Lock()
 	d.peers.conns[c] = true
 	d.peers.mu.Unlock()
-	d.peers.sendRecentCrashes(c)
+	d.peers.sendState(c)
 }
 
 // Received implements transport.Handler.
@@ -96,6 +96,9 @@
 		p.mu.Lock()
 		p.waitingJobs[c.Peer().Name] = m.Waiting
 		p.mu.Unlock()
+		if m.Evacuation != nil {
+			p.entry.post(entryEvent{event: scheduler.EvacuationLearned{State: *m.Evacuation, Source: c.Peer().Name}})
+		}
 	case *message.CrashNotice:
 		p.entry.post(entryEvent{event: scheduler.CrashesShared{Notice: m}})
 	case *message.JobSearch:
@@ -113,12 +116,14 @@
 	}
 }
 
-// sendRecentCrashes tells an entry that may have just started what is known of crashes.
-func (p *peers) sendRecentCrashes(c transport.Conn) {
+// sendState tells an entry that may have just started what is known of evacuated zones
+// and of crashes.
+func (p *peers) sendState(c transport.Conn) {
 	p.entry.post(entryEvent{query: func(core *scheduler.Core) {
+		// A failed send is ignored: the heartbeat timeout closes the connection, and
+		// the next one begins with the state again.
+		_ = c.Send(entryState(core))
 		if notice := core.RecentCrashes(); len(notice.Crashes) > 0 {
-			// A failed send is ignored: the heartbeat timeout closes the connection, and
-			// the next one begins with the crashes again.
 			_ = c.Send(notice)
 		}
 	}})
@@ -209,8 +214,8 @@
 	return scheduler.JobsCompletedElsewhere{IDs: m.Jobs, BlamedQueues: m.BlamedQueues}
 }
 
-func (p *peers) broadcastState(waiting map[string]int) {
-	p.broadcast(&message.EntryState{Waiting: waiting})
+func entryState(core *scheduler.Core) *message.EntryState {
+	return &message.EntryState{Waiting: core.WaitingJobs(), Evacuation: core.Evacuation()}
 }
 
 // broadcast sends a message to all other entries. A connection that fails to send
--- a/pool/scheduler/admission.go
+++ b/pool/scheduler/admission.go
@@ -54,7 +54,7 @@
 	}
 	if c.anyEligible(j) {
 		j.queue.eligibleAt = c.now
-	} else if j.late || c.now-max(j.queue.eligibleAt, c.settlingSince) > settleTime {
+	} else if j.late || c.allEvacuated(j) || c.now-max(j.queue.eligibleAt, c.settlingSince) > settleTime {
 		c.finish(j, JobRefused, "no endpoint takes tasks")
 		return
 	}
@@ -124,6 +124,9 @@
 func (c *Core) startRate() float64 {
 	running := 0.0
 	for _, a := range c.agentList {
+		if a.evacuation.active {
+			continue
+		}
 		for _, r := range a.runs.All() {
 			running += float64(r.job.Need.MilliCPU) / a.slowness()
 		}
--- a/pool/scheduler/agent.go
+++ b/pool/scheduler/agent.go
@@ -63,6 +63,9 @@
 	// messageDue is set if a message must be sent even if it contains no order.
 	messageDue bool
 
+	evacuation agentEvacuation
+	cold       slowStart
+
 	runs kernel.OrderedMap[message.RunRef, *run]
 	// slowdown is the median, over the agent's current runs, of the projected
 	// duration divided by the caller's estimate. The agent computes it from
@@ -122,13 +125,17 @@
 }
 
 func (a *agent) isReady() bool {
-	return a.session != 0 && a.endpoint != nil && a.endpoint.Ready
+	return a.session != 0 && a.endpoint != nil && a.endpoint.Ready && !a.evacuation.active
 }
 
 // freeCapacity returns the resources that this entry may still order: the free
-// capacity last reported less the unacknowledged and pending starts.
+// capacity last reported less the unacknowledged and pending starts, and less what
+// is withheld from a cold endpoint that runs a task already.
 func (a *agent) freeCapacity() message.Resources {
 	free := a.free.Minus(a.pendingNeed)
+	if a.runs.Len() > 0 {
+		free = free.Minus(a.cold.withheld)
+	}
 	for _, u := range a.unacked {
 		free = free.Minus(u.need)
 	}
@@ -164,6 +171,7 @@
 	}
 	a.seq, a.reportTimestamp, a.unacked, a.free = 0, 0, nil, message.Resources{}
 	a.demand, a.messageDue = message.RunDemand{}, true
+	c.openEvacuation(a, ev.Zone)
 	clear(a.starts)
 	a.startOrder, a.stops, a.pendingNeed = nil, nil, message.Resources{}
 	for _, r := range a.runs.All() {
@@ -211,6 +219,7 @@
 			c.disconnect(a.session, "silent")
 		}
 		c.endUnreachableRuns(a)
+		a.cold.advance(a, c.now)
 		a.overrun = c.estimateOverrun(a)
 	}
 	c.fleet.learn(c.agentList)
@@ -258,6 +267,10 @@
 	if report.Slowdown > 0 {
 		a.limitSlowness(report.Slowdown, maxSlowdownDeviation)
 		a.speedKnownAt = c.now
+		a.cold.measured = a.cold.active
+	}
+	if report.Evacuation != nil {
+		c.learnEvacuation(*report.Evacuation, a.name)
 	}
 	a.unacked = slices.DeleteFunc(a.unacked, func(u unackedOrder) bool { return u.seq <= report.OrdersSeq })
 	if report.Endpoint != nil {
@@ -286,8 +299,11 @@
 	if a.endpoint != nil && (a.endpoint.Name != e.Name || a.endpoint.Adoption != e.Adoption) {
 		// The new incarnation may run on another kind of machine.
 		a.logSlowness, a.failures, a.pause, a.paused = 0, 0, 0, 0
+		a.cold = slowStart{}
 	}
 	a.endpoint = e
+	c.markEvacuated(a)
+	a.cold.update(a, e, c.now)
 	if e.Ready {
 		c.endRunsOfEarlierIncarnations(a)
 	}
@@ -354,7 +370,7 @@
 			continue
 		}
 		sinceLastSent := c.now - a.lastSent
-		due := len(a.startOrder) > 0 || len(a.stops) > 0 || sinceLastSent >= Heartbeat || a.messageDue && sinceLastSent >= ackDelay ||
+		due := len(a.startOrder) > 0 || len(a.stops) > 0 || sinceLastSent >= Heartbeat || c.evacuationDue(a) || a.messageDue && sinceLastSent >= ackDelay ||
 			sinceLastSent >= demandInterval && (a.demand.Count > 0) != (c.demandFor(a).Count > 0)
 		if !due {
 			continue
@@ -369,6 +385,7 @@
 		if demand := c.demandFor(a); a.demand != demand {
 			a.demand, orders.Demand = demand, &demand
 		}
+		c.sendEvacuation(a, orders)
 		clear(a.starts)
 		a.startOrder, a.stops, a.messageDue, a.lastSent = nil, nil, false, c.now
 		a.pendingNeed = message.Resources{}
--- a/pool/scheduler/core.go
+++ b/pool/scheduler/core.go
@@ -109,6 +109,8 @@
 	// confinements holds, by service, the state of isolations that lasts.
 	confinements kernel.OrderedMap[string, *confinement]
 
+	evacuation evacuationState
+
 	completed      map[string]time.Duration
 	completedOrder []string
 	stopping       bool
@@ -120,7 +122,7 @@
 	Jobs    [JobRepeated + 1]int64
 	Runs    int64
 	Ended   [message.RunRefused + 1]int64
-	Refused [message.CauseIsolated + 1]int64
+	Refused [message.CauseEvacuated + 1]int64
 	// Late counts jobs that completed after their objective.
 	Late int64
 	// ProcessPauses counts pauses of this process that interrupted its jobs.
@@ -131,6 +133,8 @@
 	// Crashes counts the crashes of endpoints that were reported, GivenUp the jobs
 	// that were given up as their tasks crash endpoints.
 	Crashes, GivenUp int64
+	// EvacuatedStarts counts starts ordered in an evacuated zone: always 0.
+	EvacuatedStarts int64
 }
 
 // New returns a core without jobs and agents.
@@ -207,6 +211,8 @@
 		c.disconnect(ev.Session, "connection ended")
 	case AgentReported:
 		c.handleReport(ev.Session, ev.Report)
+	case EvacuationLearned:
+		c.learnEvacuation(ev.State, ev.Source)
 	case StopRequested:
 		c.stopping = true
 		c.interrupt("this entry stops")
@@ -230,6 +236,7 @@
 	c.compact()
 	c.learnCrashAges()
 	c.forgetCrashes()
+	c.trackEvacuations()
 	for len(c.completedOrder) > 0 && c.now-c.completed[c.completedOrder[0]] > completedRetention {
 		delete(c.completed, c.completedOrder[0])
 		c.completedOrder = c.completedOrder[1:]
--- a/pool/scheduler/event.go
+++ b/pool/scheduler/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"marjoramlug.example/marjoramlug/message"
+	"marjoramlug.example/marjoramlug/pool/evacuation"
 )
 
 // Session identifies a connection to an agent; numbers are never reused.
@@ -79,6 +80,8 @@
 	Session     Session
 	Agent       string
 	Incarnation uint64
+	// Zone is the agent's availability zone, for endpoints that report none.
+	Zone string
 }
 
 // AgentDisconnected closes a session.
@@ -90,6 +93,13 @@
 	Report  *message.RunReport
 }
 
+// EvacuationLearned is a state of the evacuated zones, read from the operator's history or
+// received from another entry, which Source names.
+type EvacuationLearned struct {
+	State  evacuation.State
+	Source string
+}
+
 // StopRequested stops the entry: open jobs are interrupted, new ones refused.
 type StopRequested struct{}
 
@@ -104,6 +114,7 @@
 func (AgentConnected) event()         {}
 func (AgentDisconnected) event()      {}
 func (AgentReported) event()          {}
+func (EvacuationLearned) event()      {}
 func (StopRequested) event()          {}
 func (Tick) event()                   {}
 
@@ -130,6 +141,12 @@
 // ShareCrashes sends what is new about crashes to the other entries.
 type ShareCrashes struct{ Notice *message.CrashNotice }
 
+// ShareEvacuation sends a new state of the evacuated zones to the other entries.
+type ShareEvacuation struct{ State evacuation.State }
+
+// EvacuationProgressed reports, for the log, a phase of the evacuation of a zone.
+type EvacuationProgressed struct{ Progress evacuation.Progress }
+
 // CloseIdleConnections closes the connections of callers that are opened before the given
 // time since boot, a little ahead: those without a request then, and the others after
 // their answer.
@@ -174,6 +191,8 @@
 func (Answer) action()               {}
 func (Disconnect) action()           {}
 func (ShareCrashes) action()         {}
+func (ShareEvacuation) action()      {}
+func (EvacuationProgressed) action() {}
 func (CloseIdleConnections) action() {}
 func (JobEnded) action()             {}
 func (Note) action()                 {}
--- a/pool/scheduler/place.go
+++ b/pool/scheduler/place.go
@@ -353,6 +353,9 @@
 	j.waiting--
 	c.waiting--
 	c.counters.Runs++
+	if a.evacuation.active {
+		c.counters.EvacuatedStarts++
+	}
 	c.started.add(c.now, j.work(1))
 	c.isolationStarted(j, i, a)
 }
--- a/pool/scheduler/queue.go
+++ b/pool/scheduler/queue.go
@@ -55,7 +55,7 @@
 func (f *fleet) learn(agents []*agent) {
 	var values []float64
 	for _, a := range agents {
-		if a.isReady() {
+		if a.isReady() && !a.cold.active {
 			values = append(values, a.logSlowness)
 		}
 	}
--- a/pool/scheduler/run.go
+++ b/pool/scheduler/run.go
@@ -64,7 +64,7 @@
 	r.agent.runs.Delete(r.ref)
 	c.counters.Ended[end.Outcome]++
 	if end.Outcome == message.RunRefused {
-		c.counters.Refused[end.Cause]++
+		c.counters.Refused[knownCause(end.Cause)]++
 	}
 	j := r.job
 	if j.answered {
@@ -96,13 +96,21 @@
 		j.lost++
 	case message.RunRefused:
 		j.runs--
-		c.refused(t, r, end.Cause)
+		c.refused(t, r, knownCause(end.Cause))
 	}
 	t.state = taskWaiting
 	j.waiting++
 	c.waiting++
 }
 
+// knownCause returns the cause, or CauseUnreachable for one of a later release.
+func knownCause(cause message.RunCause) message.RunCause {
+	if cause > message.CauseEvacuated {
+		return message.CauseUnreachable
+	}
+	return cause
+}
+
 func (c *Core) taskDone(j *job, t *task, r *run, end message.RunEnd) {
 	t.state = taskDone
 	j.done++
@@ -154,7 +162,7 @@
 		}
 	case message.CauseIsolated:
 		r.agent.isolatedAt = c.now
-	case message.CauseUnreachable, message.CauseLeaving:
+	case message.CauseUnreachable, message.CauseLeaving, message.CauseEvacuated:
 		t.notBefore = c.now + refusalDelay
 	}
 }
--- a/pool/scheduler/speed.go
+++ b/pool/scheduler/speed.go
@@ -39,7 +39,9 @@
 // of the agent's current runs.
 func (c *Core) runTime(j *job, a *agent) float64 {
 	slowness := a.slowness()
-	if c.probeDue(a) {
+	if assumed := a.cold.assumedSlowness(a); assumed > 0 {
+		slowness = assumed
+	} else if c.probeDue(a) {
 		slowness = c.fleet.medianSlowness
 	}
 	factor := j.queue.bias() * slowness * max(1, a.overrun)
@@ -52,7 +54,7 @@
 // probeDue reports whether an endpoint that counts as slow should get one task as
 // if it were not: it runs nothing, so that nothing else would show its recovery.
 func (c *Core) probeDue(a *agent) bool {
-	return a.slowness() > probedSlowness*c.fleet.medianSlowness && a.runs.Len() == 0 && c.now-a.speedKnownAt > probeInterval
+	return !a.cold.active && a.slowness() > probedSlowness*c.fleet.medianSlowness && a.runs.Len() == 0 && c.now-a.speedKnownAt > probeInterval
 }
 
 // limitSlowness keeps the learned slowness within a factor of an observed one.
@@ -87,7 +89,11 @@
 	r.job.queue.learn(ratio)
 	residual := math.Log(ratio) - r.job.queue.logBias
 	residual = min(max(residual, -maxLogRatio), maxLogRatio)
-	r.agent.logSlowness += slownessWeight * (residual - r.agent.logSlowness)
+	weight := slownessWeight
+	if r.agent.cold.takeFirstMeasurement(r) {
+		weight = 1
+	}
+	r.agent.logSlowness += weight * (residual - r.agent.logSlowness)
 	r.agent.limitSlowness(math.Exp(residual), maxRunDeviation)
 	r.agent.speedKnownAt = c.now
 }
--- a/settings/pool.go
+++ b/settings/pool.go
@@ -39,6 +39,16 @@
 	// gets tasks when any two of these entries fail at once. More connections
 	// would cost the smallest entries CPU time that they need for bursts.
 	Fanout int `yaml:"fanout,omitempty" validate:"gte=0"`
+	// Evacuation is set where the operator evacuates availability zones: the agent follows
+	// the requests itself and takes no tasks before it knows them.
+	Evacuation *Evacuation `yaml:"evacuation,omitempty"`
+}
+
+// Evacuation holds how the evacuation of an availability zone is followed.
+type Evacuation struct {
+	// Within is the time after a request from which on no task may start in its zone. At
+	// least 1s: a dead connection to the store must be replaced within it.
+	Within time.Duration `yaml:"within" validate:"required,gte=1s"`
 }
 
 // Store locates the platform's store.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -81,6 +82,37 @@
 	}
 }
 
+// TestEvacuationSettings guards against agents that follow no evacuations though they
+// should, and against a time too short to notice a dead connection in.
+func TestEvacuationSettings(t *testing.T) {
+	const agent = `
+pool_agent:
+  name: a
+  http: 127.0.0.1:1
+  endpoint: 127.0.0.1:2
+  store: {address: "127.0.0.1:3"}
+  timing: {lease: 1s, stop_time: 50ms, retransmit: 1300ms, grace: 6s}
+  budget: {memory_mb: 64}
+`
+	for text, want := range map[string]string{
+		"  evacuation: {within: 5000ms}\n": "",
+		"  evacuation: {within: 500ms}\n":  "pool_agent.evacuation.within: got 500ms, expected at least 1s",
+		"  evacuation: {}\n":               "pool_agent.evacuation.within: got nothing, expected a value",
+		"  evacuation: {after: 5s}\n":      "pool_agent.evacuation.after: got an unknown key, expected one of within",
+	} {
+		f, err := Parse([]byte(agent + text))
+		if got := fmt.Sprint(err); want != "" && !strings.Contains(got, want) || want == "" && err != nil {
+			t.Errorf("%s: got %v, want %q", text, err, want)
+		}
+		if want == "" && f.PoolAgent.Evacuation.Within != 5*time.Second {
+			t.Errorf("within: %v", f.PoolAgent.Evacuation.Within)
+		}
+	}
+	if f, err := Parse([]byte(agent)); err != nil || f.PoolAgent.Evacuation != nil {
+		t.Errorf("without the section: %v", err)
+	}
+}
+
 func TestSecretsComeFromTheEnvironment(t *testing.T) {
 	is := is.New(t)
 	f, err := Parse([]byte(validEntry + `  tokens: [{team: trials, env: TRIALS_TOKEN}, {team: ops, value: inline}]
