Simulation: zones that are evacuated, end, and are evacuated in turn

Cause: the joint guarantee of entries and agents was tested in each core only. Change: `pool/evacuation_test.go` adds zones, the operator's records, reads that are late, repeated and outdated, cuts from the store and its outages to the faults of `TestPromises`, and checks that no agent starts a task in a zone that it must know is evacuated or before it can know, and that all endpoints take tasks afterwards.

--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -45,7 +45,9 @@
 	// endpoint.
 	lateAcrossIncarnations bool
 	// noFailures lets no run fail on its own.
-	noFailures                 bool
+	noFailures bool
+	// evacuations, if set, gives the agents zones, which the operator evacuates.
+	evacuations                *evacuationModel
 	starts, completed, refused int
 }
 
@@ -131,7 +133,10 @@
 	a := sim.agents[i]
 	sim.sessions++
 	a.incarnation, a.inbox, a.frozenUntil = sim.sessions, nil, 0
-	a.core = executor.New(executor.Options{Lease: lease, HeartbeatTimeout: heartbeatTimeout, FirstFence: (sim.now + wallClockOffset).Milliseconds()})
+	a.core = executor.New(executor.Options{
+		Lease: lease, HeartbeatTimeout: heartbeatTimeout, FirstFence: (sim.now + wallClockOffset).Milliseconds(),
+		Zone: zoneOf(i), EvacuationRequired: sim.evacuations != nil,
+	})
 }
 
 // advance simulates one tick.
@@ -144,6 +149,7 @@
 	sim.connect()
 	sim.deliver()
 	sim.deliverTransmissions()
+	sim.followEvacuations()
 	for i, a := range sim.agents {
 		if sim.now >= a.frozenUntil {
 			sim.stepAgent(i)
@@ -166,6 +172,7 @@
 	inbox := append(a.inbox, executor.Tick{})
 	a.inbox = nil
 	for _, ev := range inbox {
+		sim.evacuations.delivered(sim.now, i, a, ev)
 		for _, action := range a.core.Step(sim.now, ev) {
 			sim.executeAgentAction(i, action)
 		}
@@ -186,6 +193,9 @@
 		sim.trace("agent %d %T%+v", i, action, action)
 	}
 	a := sim.agents[i]
+	if start, ok := action.(executor.StartCall); ok {
+		sim.checkEvacuated(i, start)
+	}
 	switch action := action.(type) {
 	case executor.StartCall, executor.StopCall, executor.PollCall:
 		p := pendingCall{at: sim.now + sim.delay(), call: action, agentIncarnation: a.incarnation, endpointIncarnation: a.endpoint.endpointIncarnation}
@@ -242,17 +252,22 @@
 	} else {
 		sim.trace("entry %d %T%+v", i, action, action)
 	}
+	e := sim.entries[i]
 	switch action := action.(type) {
 	case scheduler.SendOrders:
 		for key, l := range sim.links.All() {
 			if key[0] == i && l.session == uint64(action.Session) {
-				l.toAgent = append(l.toAgent, delayed{sim.now + sim.delay(), clone(action.Orders)})
+				orders := clone(action.Orders)
+				sim.evacuations.ordersSent(sim.now, orders, e.core)
+				l.toAgent = append(l.toAgent, delayed{sim.now + sim.delay(), orders})
 			}
 		}
 	case scheduler.Disconnect:
 		sim.closeLink(uint64(action.Session))
 	case scheduler.Answer:
 		sim.handleAnswer(action)
+	case scheduler.ShareEvacuation:
+		sim.shareEvacuation(i)
 	case scheduler.ShareCrashes:
 		for other := range sim.entries {
 			if other != i {
@@ -304,7 +319,7 @@
 	sim.sessions++
 	l.session, l.entryIncarnation, l.agentIncarnation = sim.sessions, sim.entries[key[0]].incarnation, sim.agents[key[1]].incarnation
 	sim.entries[key[0]].inbox = append(sim.entries[key[0]].inbox, scheduler.AgentConnected{
-		Session: scheduler.Session(l.session), Agent: sim.agents[key[1]].name, Incarnation: l.agentIncarnation,
+		Session: scheduler.Session(l.session), Agent: sim.agents[key[1]].name, Incarnation: l.agentIncarnation, Zone: zoneOf(key[1]),
 	})
 	sim.agents[key[1]].inbox = append(sim.agents[key[1]].inbox, executor.SessionOpened{
 		Session: executor.Session(l.session), Entry: fmt.Sprintf("entry-%d", key[0]), Incarnation: l.entryIncarnation,
