Platform: tests of evacuations against the stand-ins

Cause: reading of the operator's records was untested. Change: the stand-in of the runner announces its zone and a cold period, that of the store writes evacuations and answers outdated reads.

--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -20,6 +20,8 @@
 	Address string
 	// HeartbeatAddress is the host and port to which the runner sends its heartbeats.
 	HeartbeatAddress string
+	// Zone is announced as its availability zone, if set.
+	Zone string
 	// CPU is its capacity in thousandths of a core, until SetCapacity changes it; each
 	// task takes TaskCPU.
 	CPU, TaskCPU int64
@@ -60,7 +62,9 @@
 	// the capacity.
 	starts             map[string]int
 	startsOverCapacity int
-	crashed            bool
+	// warmAt is the time at which the runner is warm again.
+	warmAt  time.Time
+	crashed bool
 	// onStart and onEnd notify a checker that observes several runners. The outcome
 	// "done" means that the work of the run is complete.
 	onStart func(task string)
@@ -178,6 +182,14 @@
 	r.unanswered = n
 }
 
+// SetCold makes the runner announce that it stays slow for the given time. Its tasks take as
+// long as Options.Work says.
+func (r *Runner) SetCold(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.warmAt = time.Now().Add(d)
+}
+
 func (r *Runner) clock() int64 { return 1000 + time.Since(r.startTime).Milliseconds() }
 
 // Heartbeat sends heartbeats until ctx ends.
@@ -194,11 +206,16 @@
 func (r *Runner) sendHeartbeat(ctx context.Context) {
 	r.mu.Lock()
 	r.seq++
-	body, _ := json.Marshal(map[string]any{
+	heartbeat := map[string]any{
 		"service": r.opts.Service, "address": r.opts.Address, "state": r.state, "seq": r.seq,
 		"born": r.startTime.UnixMilli(), "clock_ms": r.clock(), "labels": []string{"a"},
 		"free_capacity": map[string]int64{"cpu": r.capacity, "mem_mb": 1 << 20, "gpu": 0},
-	})
+		"cold_left_ms":  max(time.Until(r.warmAt), 0).Milliseconds(),
+	}
+	if r.opts.Zone != "" {
+		heartbeat["zone"] = r.opts.Zone
+	}
+	body, _ := json.Marshal(heartbeat)
 	r.mu.Unlock()
 	url := "http://" + r.opts.HeartbeatAddress + "/instances/" + r.opts.Name
 	req, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(body))
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -24,6 +24,9 @@
 	Unresponsive bool
 	// LoseAnswers executes calls and aborts the connection instead of answering.
 	LoseAnswers bool
+	// Outdated makes reads and listings answer as if the last Outdated records of a keyed
+	// topic were not there yet.
+	Outdated int
 }
 
 // Store keeps its records in memory. It is safe for concurrent use.
@@ -72,6 +75,15 @@
 	s.wake()
 }
 
+// Evacuate writes the operator's record that evacuates a zone or, with false, deletes it.
+func (s *Store) Evacuate(zone string, evacuated bool) {
+	var value []byte
+	if evacuated {
+		value = []byte("{}")
+	}
+	s.Put("keyed.op", "evacuate/"+zone, value)
+}
+
 // DropHistory makes the records of a topic unavailable to reads from an offset;
 // the newest value of each key remains.
 func (s *Store) DropHistory(topic string) {
@@ -90,6 +102,9 @@
 	return s.partitions[key]
 }
 
+// visible returns the number of records of a partition that reads show.
+func (s *Store) visible(p *partition) int { return max(len(p.records)-s.faults.Outdated, 0) }
+
 func (s *Store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -173,8 +188,9 @@
 	for {
 		s.mu.Lock()
 		p, changed := s.partition(q.Get("topic"), q.Get("part")), s.changed
-		end, first := int64(len(p.records)), p.first
-		records := p.records[min(from, end):]
+		visible := p.records[:s.visible(p)]
+		end, first := int64(len(visible)), p.first
+		records := visible[min(from, end):]
 		down := s.faults.Status
 		s.mu.Unlock()
 		switch {
@@ -218,7 +234,8 @@
 	s.mu.Lock()
 	p := s.partition(q.Get("topic"), q.Get("part"))
 	values, offsets := map[string][]byte{}, map[string]int{}
-	for offset, record := range p.records {
+	visible := p.records[:s.visible(p)]
+	for offset, record := range visible {
 		n := int(record[0])
 		key, value := string(record[1:1+n]), record[1+n:]
 		if len(value) == 0 {
@@ -227,7 +244,7 @@
 		}
 		values[key], offsets[key] = value, offset
 	}
-	end := len(p.records)
+	end := len(visible)
 	s.mu.Unlock()
 	var keys []string
 	for key := range values {
