Soak: zones that are evacuated

Cause: no test with separate processes had zones. Agents alone without their check are not noticed here, as entries place nothing in the zone; the simulation and the tests of the core notice them.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -90,11 +90,13 @@
 
 // cluster is a store, entries, agents and endpoints.
 type cluster struct {
-	t           *testing.T
-	record      *record
-	dir         string
-	store       *store.Store
-	storeServer *http.Server
+	t      *testing.T
+	record *record
+	dir    string
+	// evacuateWithin, if set, is the agents' setting of that name.
+	evacuateWithin time.Duration
+	store          *store.Store
+	storeServer    *http.Server
 	// storeProxy forwards connections to the store.
 	storeProxy *tcpProxy
 	entries    []*entry
@@ -111,7 +113,11 @@
 }
 
 func newCluster(t *testing.T, dir string, entries, agents int) *cluster {
-	c := &cluster{t: t, record: newRecord(), dir: dir, store: store.New()}
+	return newClusterWith(t, dir, entries, agents, 0)
+}
+
+func newClusterWith(t *testing.T, dir string, entries, agents int, evacuateWithin time.Duration) *cluster {
+	c := &cluster{t: t, record: newRecord(), dir: dir, store: store.New(), evacuateWithin: evacuateWithin}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.must(err)
 	c.storeServer = &http.Server{Handler: c.store}
@@ -119,6 +125,10 @@
 	c.storeProxy, err = newTCPProxy(listener.Addr().String())
 	c.must(err)
 	c.configure(0)
+	if evacuateWithin > 0 {
+		c.store.Evacuate(firstZone, true)
+		c.record.evacuate(firstZone, 0)
+	}
 	for i := range entries {
 		c.addEntry(i)
 	}
@@ -186,7 +196,7 @@
 	a.heartbeats, err = newTCPProxy(heartbeats)
 	c.must(err)
 	c.write(a.name, fmt.Sprintf("pool_agent:\n  name: %s\n  http: %s\n  endpoint: %s\n  metrics: %s%s",
-		a.name, heartbeats, a.callProxy.address(), freeTCP(c.t), c.commonSettings()))
+		a.name, heartbeats, a.callProxy.address(), freeTCP(c.t), c.commonSettings()+c.evacuationSettings()))
 	c.must(a.start(c.record))
 	c.t.Cleanup(a.end)
 	c.startEndpoint(a)
@@ -214,10 +224,11 @@
 	endpoint := runner.New(runner.Options{
 		Name: a.name + "-endpoint", Service: service, Address: a.callProxy.address(), HeartbeatAddress: a.heartbeats.address(),
 		CPU: a.capacity, TaskCPU: taskCPU, Lease: lease, StopTime: stopTime / 2, Heartbeat: heartbeatInterval, Work: a.work,
-		ShrinkGrace: shrinkGrace,
+		ShrinkGrace: shrinkGrace, Zone: c.zoneOf(a),
 	})
 	endpoint.Watch(func(task string) {
 		c.record.runStarted(task)
+		c.record.checkZone(a.name, c.zoneOf(a))
 		if c.record.isDeadly(task) {
 			go c.crashAndRestart(a, endpoint)
 		}
--- a/soak/deadly_test.go
+++ b/soak/deadly_test.go
@@ -33,7 +33,7 @@
 	for _, seed := range seedsToRun(deadlySeeds) {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			t.Parallel()
-			runScenario(t, seed, (*scenario).addDeadlyJobs)
+			runScenario(t, seed, 0, (*scenario).addDeadlyJobs)
 		})
 	}
 }
--- a/soak/record_test.go
+++ b/soak/record_test.go
@@ -38,7 +38,9 @@
 	// crashesToFail is the number of crashes under one of its tasks after which a job may
 	// be reported as failed, 0 if never.
 	crashesToFail int
-	violations    []string
+	// evacuated holds, by zone, the time from which on no task may start there.
+	evacuated  map[string]time.Time
+	violations []string
 	// notRun lists jobs that were submitted only once and refused as not run.
 	notRun []string
 	counts map[string]int
@@ -49,6 +51,7 @@
 		startedAt: time.Now(), running: map[string]int{}, starts: map[string]int{}, done: map[string]bool{},
 		failures: map[string]int{}, counts: map[string]int{},
 		crashes: map[string]int{}, startsAfterCrashes: map[string]int{}, deadly: map[string]bool{},
+		evacuated: map[string]time.Time{},
 	}
 }
 
--- a/soak/scenario_test.go
+++ b/soak/scenario_test.go
@@ -46,7 +46,7 @@
 	for _, seed := range seedsToRun(fixedSeeds) {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			t.Parallel()
-			runScenario(t, seed, nil)
+			runScenario(t, seed, 0, nil)
 		})
 	}
 }
@@ -67,14 +67,15 @@
 	return list
 }
 
-// runScenario runs a scenario of random faults, and further ones that more adds.
-func runScenario(t *testing.T, seed uint64, more func(*scenario)) {
+// runScenario runs a scenario of random faults, and further ones that more adds. Agents
+// follow evacuations if evacuateWithin is set.
+func runScenario(t *testing.T, seed uint64, evacuateWithin time.Duration, more func(*scenario)) {
 	dir, err := os.MkdirTemp(*logFolder, fmt.Sprintf("soak-%d-", seed))
 	if err != nil {
 		t.Fatal(err)
 	}
 	stalls := watchStalls()
-	c := newCluster(t, dir, *entries, *agents)
+	c := newClusterWith(t, dir, *entries, *agents, evacuateWithin)
 	s := &scenario{cluster: c, random: rand.New(rand.NewPCG(seed, 0))}
 	if more != nil {
 		more(s)
@@ -243,6 +244,10 @@
 		"run and then refused":                  func(r *record) { r.runStarted(task); r.runEnded(task, "done"); r.jobRefused(job) },
 		"refused and then run":                  func(r *record) { r.jobRefused(job); r.runStarted(task); r.runEnded(task, "done") },
 		"still running at the end":              func(r *record) { r.runStarted(task) },
+		"started in an evacuated zone": func(r *record) {
+			r.evacuated["z0"] = time.Now().Add(-time.Second)
+			r.checkZone("agent-0", "z0")
+		},
 	} {
 		r := newRecord()
 		violate(r)
