--- a/pool/executor/evacuation.go
+++ b/pool/executor/evacuation.go
@@ -143,8 +143,12 @@
 }
 
 // updateCold records for how long the endpoint stays slow and reports whether that
-// differs from what entries expect.
+// differs from what entries expect. Without Options.EvacuationRequired, entries use cold
+// endpoints as they use others.
 func (c *Core) updateCold(left time.Duration) bool {
+	if !c.opts.EvacuationRequired {
+		return false
+	}
 	e := &c.endpoint
 	until := c.now + left
 	if expected := max(e.coldUntil, c.now); until-expected <= coldTolerance && expected-until <= coldTolerance {
