Entries: a cold period begins anew when its end is put off

Cause: an endpoint that is not used, as in an evacuated zone, may stay cold until it is; entries saw one long cold period, most of which had passed, and filled the endpoint when its zone returned. Change: the slow start begins anew when the end is 300 ms later than known. A dialled connection that ends takes its entry's number of waiting jobs along, as states now come on both connections.

--- a/pool/node/peers.go
+++ b/pool/node/peers.go
@@ -69,6 +69,8 @@
 	d.peers.mu.Lock()
 	defer d.peers.mu.Unlock()
 	delete(d.peers.conns, c)
+	// The other entry's reports on its own connection bring the number again.
+	delete(d.peers.waitingJobs, c.Peer().Name)
 }
 
 func (p *peers) set(addresses []string) {
--- a/pool/scheduler/evacuation_test.go
+++ b/pool/scheduler/evacuation_test.go
@@ -203,6 +203,25 @@
 	is.True(late*10 < len(sent))
 }
 
+// TestColdPeriodBeginsWhenTheZoneReturns guards against endpoints that are filled at the end
+// of an evacuation, as they have been cold, and unused, for long.
+func TestColdPeriodBeginsWhenTheZoneReturns(t *testing.T) {
+	is := is.New(t)
+	sim := newZones(t, 1, 64000)
+	sim.evacuate(1, "even")
+	for range 10 {
+		sim.describe(0, 3*time.Second)
+		sim.advanceFor(time.Second)
+	}
+	sim.describe(0, 3*time.Second)
+	sim.evacuate(2)
+	sim.submit(jobKind{queue: "label", tasks: 10, runTime: 200 * time.Millisecond})
+	is.True(sim.runs <= 2) // of ten that fit
+	sim.advanceFor(2900 * time.Millisecond)
+	sim.submit(jobKind{queue: "label", tasks: 8, runTime: 200 * time.Millisecond})
+	is.True(sim.runs >= 10)
+}
+
 // TestUnknownCauseIsHandled guards against an entry that ends by itself when an agent of a
 // later release refuses a run for a cause that this release doesn't know.
 func TestUnknownCauseIsHandled(t *testing.T) {
--- a/pool/scheduler/slow_start.go
+++ b/pool/scheduler/slow_start.go
@@ -18,6 +18,9 @@
 	// coldProbeSlowness is assumed instead for the one task that shows its speed: a short
 	// task would be in time, a long one, which takes long to show it, would not.
 	coldProbeSlowness = 2
+	// coldExtension is the delay of a cold period's end from which on the period begins anew:
+	// an endpoint that is not used, as in an evacuated zone, may stay cold until it is.
+	coldExtension = 300 * time.Millisecond
 )
 
 // slowStart limits the use of an endpoint that stays slow for some time, as after a pause
@@ -36,12 +39,16 @@
 
 // update handles a description of the endpoint.
 func (s *slowStart) update(a *agent, e *message.PoolEndpoint, now time.Duration) {
-	if left := time.Duration(e.ColdMillis) * time.Millisecond; left > 0 || s.active {
-		if !s.active {
-			*s = slowStart{active: true, from: now, warmLogSlowness: a.logSlowness}
-			a.logSlowness = max(a.logSlowness, math.Log(coldSlowness))
+	left := time.Duration(e.ColdMillis) * time.Millisecond
+	if until := now + left; left > 0 && until > s.until+coldExtension {
+		warm := a.logSlowness
+		if s.active {
+			warm = s.warmLogSlowness
 		}
-		s.until = now + left
+		*s = slowStart{active: true, from: now, until: until, warmLogSlowness: warm}
+		a.logSlowness = max(a.logSlowness, math.Log(coldSlowness))
+	} else if s.active {
+		s.until = until
 	}
 	s.advance(a, now)
 }
