--- a/message/codec.go
+++ b/message/codec.go
@@ -49,6 +49,8 @@
 	KindJobSearchReply
 	KindEntryState
 	KindCrashNotice
+	KindForwardOrders
+	KindForwardReport
 	kindEnd
 )
 
@@ -61,6 +63,7 @@
 	KindStatus: "status", KindAbandon: "abandon", KindPromiseRequest: "promise-request",
 	KindPromise: "promise", KindStateRequest: "state-request", KindStateReply: "state-reply",
 	KindRoster: "roster", KindRunOrders: "run-orders", KindRunReport: "run-report", KindCompletedJobs: "ended-jobs", KindJobSearch: "job-search", KindJobSearchReply: "job-found", KindEntryState: "entry-state", KindCrashNotice: "crash-notice",
+	KindForwardOrders: "forward-orders", KindForwardReport: "forward-report",
 }
 
 // String returns the kind's name as used in metric names.
@@ -176,6 +179,12 @@
 // Kind implements Message.
 func (*CrashNotice) Kind() Kind { return KindCrashNotice }
 
+// Kind implements Message.
+func (*ForwardOrders) Kind() Kind { return KindForwardOrders }
+
+// Kind implements Message.
+func (*ForwardReport) Kind() Kind { return KindForwardReport }
+
 var constructors = [kindEnd]func() Message{
 	KindHello:          func() Message { return new(Hello) },
 	KindAnnounce:       func() Message { return new(Announce) },
@@ -209,6 +218,8 @@
 	KindJobSearchReply: func() Message { return new(JobSearchReply) },
 	KindEntryState:     func() Message { return new(EntryState) },
 	KindCrashNotice:    func() Message { return new(CrashNotice) },
+	KindForwardOrders:  func() Message { return new(ForwardOrders) },
+	KindForwardReport:  func() Message { return new(ForwardReport) },
 }
 
 // maxArrayElements is the maximum length of an array in a message. A job has at
