Scheduler: forward whole jobs to entries with free capacity

Off unless Options.LoadSharingPeers is set; without it no step differs.

Measured: go test ./pool/scheduler passes.

--- a/pool/scheduler/admission.go
+++ b/pool/scheduler/admission.go
@@ -55,7 +55,7 @@
 	if c.anyEligible(j) {
 		j.queue.eligibleAt = c.now
 	} else if j.late || c.now-max(j.queue.eligibleAt, c.settlingSince) > settleTime {
-		c.finish(j, JobRefused, "no endpoint takes tasks")
+		c.refuse(j, "no endpoint takes tasks")
 		return
 	}
 	wait := c.estimateWait(j)
@@ -67,8 +67,10 @@
 		hopeless = c.now-c.settlingSince > settleTime && c.now+waitMargin*wait > j.latestStart()
 	}
 	if hopeless {
-		c.finish(j, JobRefused, "the wait would be "+wait.Round(time.Millisecond).String())
+		c.refuse(j, "the wait would be "+wait.Round(time.Millisecond).String())
+		return
 	}
+	c.forwardWaiting(j)
 }
 
 // estimateWait estimates how long this entry takes to start the tasks that rank
--- a/pool/scheduler/agent.go
+++ b/pool/scheduler/agent.go
@@ -217,13 +217,16 @@
 	c.observeOthersWork()
 }
 
-// excuseSilence does not count a pause of this process as silence of its agents: what
+// excuseSilence does not count a pause of this process as silence of agents and peers: what
 // they have sent meanwhile may be handled only after the first step. A process that is
 // paused again and again excuses no more than one heartbeat timeout.
 func (c *Core) excuseSilence(pause time.Duration) {
 	for _, a := range c.agentList {
 		a.excused = min(a.excused+pause, c.opts.HeartbeatTimeout)
 	}
+	for _, p := range c.peerList {
+		p.excused = min(p.excused+pause, c.opts.HeartbeatTimeout)
+	}
 }
 
 // endUnreachableRuns ends the runs whose lostAt has passed as lost.
--- a/pool/scheduler/core.go
+++ b/pool/scheduler/core.go
@@ -27,6 +27,11 @@
 	// MaxWaiting limits the number of waiting tasks; jobs beyond it are
 	// refused.
 	MaxWaiting int
+	// LoadSharingPeers is the number of connected peers from which on jobs are forwarded to
+	// them; 0 means that no job is forwarded or accepted from another entry.
+	LoadSharingPeers int
+	// Zone is the entry's availability zone; peers of the same zone are preferred.
+	Zone string
 }
 
 const (
@@ -70,7 +75,9 @@
 	// startedAt is the time of the first step.
 	startedAt  time.Duration
 	lastExpiry time.Duration
-	actions    []Action
+	// heldUpAt is the time of the last step that came late.
+	heldUpAt time.Duration
+	actions  []Action
 
 	jobs     map[string]*job
 	jobOrder []*job
@@ -109,6 +116,16 @@
 	// confinements holds, by service, the state of isolations that lasts.
 	confinements kernel.OrderedMap[string, *confinement]
 
+	// peers and origins are the connections to other entries, see forward.go and host.go.
+	peers      map[PeerSession]*peer
+	peerList   []*peer
+	origins    map[PeerSession]*origin
+	originList []*origin
+	// hosted holds the waiters of jobs of other entries.
+	hosted      map[Waiter]*hostedJob
+	lastHosted  Waiter
+	lastRequest uint64
+
 	completed      map[string]time.Duration
 	completedOrder []string
 	stopping       bool
@@ -143,6 +160,9 @@
 		remainingRuns: map[string]int{},
 		agents:        map[string]*agent{},
 		sessions:      map[Session]*agent{},
+		peers:         map[PeerSession]*peer{},
+		origins:       map[PeerSession]*origin{},
+		hosted:        map[Waiter]*hostedJob{},
 		completed:     map[string]time.Duration{},
 		fleet:         fleet{medianSlowness: 1},
 		started:       decayingRate{timeConstant: startRateTimeConstant},
@@ -170,6 +190,9 @@
 	if c.now > 0 && pause > shortPause && pause <= c.opts.HeartbeatTimeout {
 		c.excuseSilence(pause)
 	}
+	if pause > heldUpGap {
+		c.heldUpAt = now
+	}
 	c.now = max(c.now, now)
 	c.handleOutage()
 	for _, ev := range events {
@@ -180,6 +203,8 @@
 	c.place()
 	c.refuseUnplaceable()
 	c.flush()
+	c.flushPeers()
+	c.flushOrigins()
 	return c.actions
 }
 
@@ -207,6 +232,16 @@
 		c.disconnect(ev.Session, "connection ended")
 	case AgentReported:
 		c.handleReport(ev.Session, ev.Report)
+	case PeerConnected:
+		c.connectPeer(ev)
+	case PeerDisconnected:
+		c.disconnectPeer(ev.Peer)
+	case PeerReported:
+		c.handlePeerReport(ev.Peer, ev.Report)
+	case ForwardReceived:
+		c.handleForward(ev)
+	case OriginDisconnected:
+		c.disconnectOrigin(ev.Origin)
 	case StopRequested:
 		c.stopping = true
 		c.interrupt("this entry stops")
@@ -221,6 +256,8 @@
 	}
 	c.lastExpiry = c.now
 	c.checkAgents()
+	c.checkPeers()
+	c.checkOrigins()
 	for _, j := range c.jobOrder {
 		if j.answered {
 			continue
@@ -266,7 +303,7 @@
 func (c *Core) WaitingJobs() map[string]int {
 	counts := map[string]int{}
 	for _, j := range c.jobOrder {
-		if !j.answered && j.runs == 0 {
+		if !j.answered && j.runs == 0 && j.forward.away == nil {
 			counts[j.Queue]++
 		}
 	}
@@ -277,10 +314,10 @@
 func (c *Core) OpenJobs() int { return len(c.jobs) }
 
 // Status reports whether a job is open and whether one of its tasks has
-// started.
+// started, or may have at the entry that it was forwarded to.
 func (c *Core) Status(id string) (known, started bool) {
 	j := c.jobs[id]
-	return j != nil, j != nil && j.runs > 0
+	return j != nil, j != nil && (j.runs > 0 || j.forward.away != nil)
 }
 
 // Completed reports whether a job is remembered as completed.
--- a/pool/scheduler/event.go
+++ b/pool/scheduler/event.go
@@ -159,6 +159,8 @@
 	QueueBlamed bool
 	// WaitingTasks is the number of waiting tasks of all jobs at that moment.
 	WaitingTasks int
+	// Host is the entry that the job was forwarded to, Origin the one that it came from.
+	Host, Origin string
 }
 
 // Note reports a change in the entry's view of agents and endpoints, or a pause
--- a/pool/scheduler/job.go
+++ b/pool/scheduler/job.go
@@ -31,6 +31,7 @@
 	// mayRunElsewhere is set if the caller may have submitted the job at another entry
 	// before this one read it.
 	mayRunElsewhere bool
+	forward         forwardState
 }
 
 type taskState uint8
@@ -80,7 +81,7 @@
 
 func (c *Core) submit(w Waiter, in *Job) {
 	if _, done := c.completed[in.ID]; done {
-		c.emit(Answer{Waiter: w, Answer: message.JobAnswer{Verdict: verdict.Ran}})
+		c.answer(w, message.JobAnswer{Verdict: verdict.Ran})
 		c.counters.Jobs[JobRepeated]++
 		c.emit(JobEnded{Job: in, Outcome: JobRepeated, Cause: "completed before"})
 		return
@@ -110,9 +111,9 @@
 	case c.stopping:
 		c.finish(j, JobRefused, "this entry is stopping")
 	case c.waiting > c.opts.MaxWaiting:
-		c.finish(j, JobRefused, "too many tasks wait")
+		c.refuseNow(j, "too many tasks wait")
 	case !c.someEndpointFits(j):
-		c.finish(j, JobRefused, "no endpoint can run it")
+		c.refuseNow(j, "no endpoint can run it")
 	}
 }
 
@@ -141,6 +142,9 @@
 	j.answered = true
 	delete(c.jobs, j.ID)
 	c.waiting -= j.waiting
+	if j.forward.away != nil {
+		c.recall(j)
+	}
 	unplaced, unended := j.waiting, 0
 	for i := range j.tasks {
 		if r := j.tasks[i].run; r != nil {
@@ -150,15 +154,22 @@
 		}
 	}
 	answer := c.answerFor(j, outcome, cause)
+	if j.forward.answer != nil {
+		answer = *j.forward.answer
+	}
 	for _, w := range j.waiters {
 		delete(c.waiters, w)
-		c.emit(Answer{Waiter: w, Answer: answer})
+		c.answer(w, answer)
 	}
 	c.counters.Jobs[outcome]++
 	ended := JobEnded{
 		Job: j.Job, Outcome: outcome, Cause: cause, Age: c.now - j.received, Objective: j.objective(),
 		Runs: j.runs, Failed: j.failed, Lost: j.lost,
 		Unplaced: unplaced, Unended: unended, WaitingTasks: c.waiting,
+		Origin: j.forward.origin,
+	}
+	if j.forward.away != nil {
+		ended.Host = j.forward.away.name
 	}
 	if j.runs > 0 {
 		ended.Waited = j.firstStart - j.received
@@ -169,7 +180,10 @@
 	if outcome == JobCompleted {
 		ended.QueueBlamed = j.queue.blame >= leastBlame
 		c.rememberCompleted(j.ID)
-		j.queue.jobSurvived(j.work(len(j.tasks)))
+		if j.forward.away == nil {
+			// Otherwise the host reports it.
+			j.queue.jobSurvived(j.work(len(j.tasks)))
+		}
 		c.acquit(j.ID)
 		if ended.Age > ended.Objective {
 			c.counters.Late++
@@ -180,7 +194,7 @@
 
 func (c *Core) answerFor(j *job, outcome Outcome, cause string) message.JobAnswer {
 	answer := message.JobAnswer{Failed: true, Detail: cause, Verdict: verdict.MayHaveRun}
-	if j.runs == 0 && j.suspect == nil && !j.mayRunElsewhere {
+	if j.runs == 0 && j.suspect == nil && !j.mayRunElsewhere && j.forward.away == nil {
 		answer.Verdict = verdict.NotRun
 	}
 	switch outcome {
@@ -208,6 +222,10 @@
 // checkJob ends a job at its deadline, marks it late when it can't meet its
 // objective, and reviews it when a review is due.
 func (c *Core) checkJob(j *job) {
+	if j.forward.away != nil {
+		c.checkForwarded(j)
+		return
+	}
 	if c.now >= j.Deadline {
 		if j.runs == 0 {
 			c.finish(j, JobRefused, "no room before the deadline")
--- a/pool/scheduler/simulation_test.go
+++ b/pool/scheduler/simulation_test.go
@@ -34,6 +34,10 @@
 	pauses int
 	// shared holds the notices of crashes to other entries.
 	shared []*message.CrashNotice
+	// forward, if set, gets the actions that concern other entries.
+	forward func(Action)
+	// runTimes holds the run times of jobs of other entries.
+	runTimes map[string]time.Duration
 }
 
 type testAgent struct {
@@ -73,22 +77,27 @@
 
 func newSimulation(t *testing.T, agents int, capacity int64) *simulation {
 	sim := &simulation{
-		t: t, random: rand.New(rand.NewPCG(1, 2)), jobs: map[Waiter]*testJob{}, hangs: map[string]bool{}, now: time.Second,
+		t: t, random: rand.New(rand.NewPCG(1, 2)), jobs: map[Waiter]*testJob{}, hangs: map[string]bool{}, now: time.Second, runTimes: map[string]time.Duration{},
 		core: New(Options{
 			HeartbeatTimeout: time.Hour, Lease: time.Second, StopTime: 50 * time.Millisecond, ResubmitDelay: time.Hour, MaxWaiting: 5000,
 		}),
 	}
-	for i := range agents {
-		a := &testAgent{name: fmt.Sprint("agent-", i), capacity: capacity, slowFactor: 1, running: map[message.RunRef]*testRun{}}
-		sim.agents = append(sim.agents, a)
-		sim.apply(AgentConnected{Session: Session(i + 1), Agent: a.name, Incarnation: 1})
-		sim.report(i, &message.RunReport{Endpoint: &message.PoolEndpoint{
-			Name: a.name, Service: "s", Capacity: message.Resources{MilliCPU: capacity}, Ready: true,
-		}})
+	for range agents {
+		sim.addAgent(capacity)
 	}
 	return sim
 }
 
+func (sim *simulation) addAgent(capacity int64) {
+	i := len(sim.agents)
+	a := &testAgent{name: fmt.Sprint("agent-", i), capacity: capacity, slowFactor: 1, running: map[message.RunRef]*testRun{}}
+	sim.agents = append(sim.agents, a)
+	sim.apply(AgentConnected{Session: Session(i + 1), Agent: a.name, Incarnation: 1})
+	sim.report(i, &message.RunReport{Endpoint: &message.PoolEndpoint{
+		Name: a.name, Service: "s", Capacity: message.Resources{MilliCPU: capacity}, Ready: true,
+	}})
+}
+
 func (sim *simulation) apply(events ...Event) {
 	for _, action := range sim.core.Step(sim.now, events...) {
 		switch action := action.(type) {
@@ -107,6 +116,8 @@
 			if action.What == "agent paused" {
 				sim.pauses++
 			}
+		case SendForwardOrders, SendForwardReport, ForwardNote:
+			sim.forward(action)
 		}
 	}
 }
@@ -143,6 +154,9 @@
 			return j.runTime
 		}
 	}
+	if took := sim.runTimes[id]; took > 0 {
+		return took
+	}
 	return time.Second
 }
 
--- a/pool/scheduler/speed.go
+++ b/pool/scheduler/speed.go
@@ -38,15 +38,20 @@
 // the learned factors applied to the estimate, limited by the reported slowdown
 // of the agent's current runs.
 func (c *Core) runTime(j *job, a *agent) float64 {
+	return float64(j.Estimate) * c.runTimeFactor(j.queue.bias(), a)
+}
+
+// runTimeFactor returns what an estimate is multiplied by, for a queue's bias and an agent.
+func (c *Core) runTimeFactor(bias float64, a *agent) float64 {
 	slowness := a.slowness()
 	if c.probeDue(a) {
 		slowness = c.fleet.medianSlowness
 	}
-	factor := j.queue.bias() * slowness * max(1, a.overrun)
+	factor := bias * slowness * max(1, a.overrun)
 	if a.slowdown > 0 && c.now-a.slowdownAt < slowdownValidity {
 		factor = min(max(factor, a.slowdown/maxSlowdownDeviation), a.slowdown*maxSlowdownDeviation)
 	}
-	return float64(j.Estimate) * factor
+	return factor
 }
 
 // probeDue reports whether an endpoint that counts as slow should get one task as
