Entries: carry forwarded jobs between entries, setting load_sharing

Cause: the scheduler forwards jobs, but nothing carried its messages.

A job is counted in jobs.* and reported as completed by one entry only.

Measured: go test ./pool/... ./settings ./platform ./internal/... passes.

--- a/pool/node/entry.go
+++ b/pool/node/entry.go
@@ -8,6 +8,7 @@
 
 	"marjoramlug.example/marjoramlug/message"
 	"marjoramlug.example/marjoramlug/pool/scheduler"
+	"marjoramlug.example/marjoramlug/pool/subset"
 	"marjoramlug.example/marjoramlug/settings"
 	"marjoramlug.example/marjoramlug/telemetry"
 	"marjoramlug.example/marjoramlug/transport"
@@ -85,9 +86,15 @@
 
 // SchedulerOptions returns the options of an entry's core.
 func SchedulerOptions(s settings.PoolEntry) scheduler.Options {
+	loadSharingPeers := 0
+	if s.LoadSharing {
+		// In a smaller pool the peers have the same endpoints.
+		loadSharingPeers = subset.SmallPool
+	}
 	return scheduler.Options{
 		HeartbeatTimeout: s.Timing.HeartbeatTimeout, Lease: s.Timing.Lease, StopTime: s.Timing.StopTime,
 		ResubmitDelay: s.Timing.ResubmitDelay, MaxWaiting: s.MaxWaiting,
+		LoadSharingPeers: loadSharingPeers, Zone: s.Zone,
 	}
 }
 
@@ -233,6 +240,7 @@
 // Connected implements transport.Handler.
 func (e *Entry) Connected(c transport.Conn) {
 	if c.Peer().Role != message.RoleAgent {
+		e.peers.links.add(c)
 		e.peers.sendRecentCrashes(c)
 		return
 	}
@@ -307,6 +315,12 @@
 		}
 	case scheduler.Disconnect:
 		e.sessions.close(uint64(action.Session))
+	case scheduler.SendForwardOrders:
+		e.peers.links.send(uint64(action.Peer), action.Orders)
+	case scheduler.SendForwardReport:
+		e.peers.links.send(uint64(action.Origin), action.Report)
+	case scheduler.ForwardNote:
+		e.noteForward(action)
 	case scheduler.ShareCrashes:
 		e.peers.broadcast(action.Notice)
 	case scheduler.CloseIdleConnections:
@@ -322,13 +336,16 @@
 }
 
 func (e *Entry) jobEnded(j scheduler.JobEnded) {
-	if j.Outcome == scheduler.JobCompleted {
+	if j.Outcome == scheduler.JobCompleted && j.Host == "" {
 		e.peers.jobCompleted(j)
 	}
 	outcome := j.Outcome.String()
-	e.opts.Metrics.Add("jobs."+outcome, 1)
-	e.opts.Metrics.Observe("job.time", j.Job.Queue, outcome, j.Age)
-	e.opts.Metrics.Observe("job.waited", j.Job.Queue, outcome, j.Waited)
+	if j.Origin == "" {
+		// Jobs of other entries are counted there.
+		e.opts.Metrics.Add("jobs."+outcome, 1)
+		e.opts.Metrics.Observe("job.time", j.Job.Queue, outcome, j.Age)
+		e.opts.Metrics.Observe("job.waited", j.Job.Queue, outcome, j.Waited)
+	}
 	line := e.opts.Log.Failure
 	if j.Outcome == scheduler.JobCompleted && j.Age <= j.Objective {
 		line = e.opts.Log.Routine
@@ -339,6 +356,7 @@
 		Int64("waited_ms", j.Waited.Milliseconds()).Int64("objective_ms", j.Objective.Milliseconds()).
 		Int("runs", j.Runs).Int("failed", j.Failed).Int("lost", j.Lost).
 		Int("unplaced", j.Unplaced).Int("unended", j.Unended).
+		Str("host", j.Host).Str("origin", j.Origin).
 		Int("crashes", j.Crashes).Float64("blame", j.Blame).Int("tasks_waiting", j.WaitingTasks).Msg("")
 }
 
--- a/pool/node/peers.go
+++ b/pool/node/peers.go
@@ -29,6 +29,9 @@
 	entry  *Entry
 	dialer *dialer
 
+	// links numbers the dialled and the accepted connections.
+	links *sessions
+
 	mu    sync.Mutex
 	conns map[transport.Conn]bool
 	// waitingJobs holds the number of waiting jobs by entry and queue, as last
@@ -43,7 +46,7 @@
 
 func newPeers(e *Entry) *peers {
 	p := &peers{
-		entry: e, conns: map[transport.Conn]bool{}, waitingJobs: map[string]map[string]int{},
+		entry: e, links: newSessions(), conns: map[transport.Conn]bool{}, waitingJobs: map[string]map[string]int{},
 		pending: map[uint64]chan *message.JobSearchReply{},
 	}
 	p.dialer = newDialer(e.opts.Network, e.self, dialled{p})
@@ -59,16 +62,24 @@
 	d.peers.conns[c] = true
 	d.peers.mu.Unlock()
 	d.peers.sendRecentCrashes(c)
+	d.peers.dialledPeer(c)
 }
 
 // Received implements transport.Handler.
-func (d dialled) Received(c transport.Conn, m message.Message) { d.peers.received(c, m) }
+func (d dialled) Received(c transport.Conn, m message.Message) {
+	if report, ok := m.(*message.ForwardReport); ok {
+		d.peers.reported(c, report)
+		return
+	}
+	d.peers.received(c, m)
+}
 
 // Disconnected implements transport.Handler.
 func (d dialled) Disconnected(c transport.Conn, _ error) {
 	d.peers.mu.Lock()
-	defer d.peers.mu.Unlock()
 	delete(d.peers.conns, c)
+	d.peers.mu.Unlock()
+	d.peers.entry.post(entryEvent{event: scheduler.PeerDisconnected{Peer: scheduler.PeerSession(d.peers.links.remove(c))}})
 }
 
 func (p *peers) set(addresses []string) {
@@ -84,8 +95,9 @@
 // disconnected handles the end of a connection that another entry had opened.
 func (p *peers) disconnected(c transport.Conn) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	delete(p.waitingJobs, c.Peer().Name)
+	p.mu.Unlock()
+	p.entry.post(entryEvent{event: scheduler.OriginDisconnected{Origin: scheduler.PeerSession(p.links.remove(c))}})
 }
 
 func (p *peers) received(c transport.Conn, m message.Message) {
@@ -96,6 +108,8 @@
 		p.mu.Lock()
 		p.waitingJobs[c.Peer().Name] = m.Waiting
 		p.mu.Unlock()
+	case *message.ForwardOrders:
+		p.forwardReceived(c, m)
 	case *message.CrashNotice:
 		p.entry.post(entryEvent{event: scheduler.CrashesShared{Notice: m}})
 	case *message.JobSearch:
--- a/pool/subset/subset.go
+++ b/pool/subset/subset.go
@@ -8,15 +8,15 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// smallPool is the number of entries up to which agents connect to all of them: in
+// SmallPool is the number of entries up to which agents connect to all of them: in
 // a small pool, the choice among all endpoints is worth more than the CPU time of
 // the sessions.
-const smallPool = 5
+const SmallPool = 5
 
 // Limit returns the number of entries that an agent connects to; 0 means
 // all.
 func Limit(entries, fanout int) int {
-	if entries <= smallPool {
+	if entries <= SmallPool {
 		return 0
 	}
 	return fanout
--- a/pool/subset/subset_test.go
+++ b/pool/subset/subset_test.go
@@ -32,7 +32,7 @@
 // with four entries turn slow, each entry must have the choice among all
 // endpoints.
 func TestEntriesOfASmallPoolUseAllEndpoints(t *testing.T) {
-	for entries, want := range map[int]int{1: 0, 4: 0, smallPool: 0, smallPool + 1: 3, 14: 3} {
+	for entries, want := range map[int]int{1: 0, 4: 0, SmallPool: 0, SmallPool + 1: 3, 14: 3} {
 		if got := Limit(entries, 3); got != want {
 			t.Errorf("%d entries: limit %d, want %d", entries, got, want)
 		}
--- a/settings/pool.go
+++ b/settings/pool.go
@@ -21,6 +21,10 @@
 	// MaxWaiting bounds the queued tasks. Default 5000: ten seconds of work of
 	// the largest entry in use.
 	MaxWaiting int `yaml:"max_waiting,omitempty" validate:"gte=0"`
+	// LoadSharing forwards jobs that this entry would refuse or answer late to entries with
+	// free endpoints, and accepts such jobs from them. It has no effect in pools of up to
+	// five entries, where all entries have the same endpoints. Default false.
+	LoadSharing bool `yaml:"load_sharing,omitempty"`
 }
 
 // PoolAgent is the settings of an agent of a pool.
