Emulator: forwarded jobs, waves by zone, callers that move

Cause: the effect of load sharing could not be measured without processes.

Change: entries carry forwarded jobs to each other if the fleet says load_sharing. Entries have zones; the callers' share of each zone oscillates (waves), and callers move to one zone (move_callers). Runs without these settings draw the same numbers as before.

--- a/emulator/experiment.go
+++ b/emulator/experiment.go
@@ -22,6 +22,15 @@
 	// Classes are the kinds of job; each is a queue of its own.
 	Classes []Class `yaml:"classes" validate:"required,min=1,dive"`
 	Faults  []Fault `yaml:"faults,omitempty" validate:"dive"`
+	// Waves let the load of the zones oscillate, out of phase.
+	Waves Waves `yaml:"waves,omitempty"`
+}
+
+// Waves describe how the callers' share of each zone oscillates; the phases of the zones
+// are spread over the period.
+type Waves struct {
+	Amplitude float64       `yaml:"amplitude,omitempty" validate:"gte=0,lte=1"`
+	Period    time.Duration `yaml:"period,omitempty" validate:"gte=0,lte=600000000000"`
 }
 
 // Fleet describes entries, agents and the network between them.
@@ -33,6 +42,8 @@
 	Fanout int `yaml:"fanout,omitempty" validate:"gte=0,lte=1000"`
 	// Delay is the one-way delay between an entry and an agent. Default 1 ms.
 	Delay time.Duration `yaml:"delay,omitempty" validate:"gte=0,lte=1000000000"`
+	// LoadSharing lets entries forward jobs to each other.
+	LoadSharing bool `yaml:"load_sharing,omitempty"`
 }
 
 // EntryGroup is a number of entries of the same size.
@@ -43,6 +54,8 @@
 	// Weight is the share of the callers that one entry gets, relative to others.
 	// Default 1.
 	Weight float64 `yaml:"weight,omitempty" validate:"gte=0,lte=1000"`
+	// Zone is the availability zone of the entries.
+	Zone string `yaml:"zone,omitempty" validate:"max=64"`
 }
 
 // EndpointGroup is a number of agents with endpoints of the same kind.
@@ -83,9 +96,10 @@
 	At  time.Duration `yaml:"at" validate:"gte=0"`
 	For time.Duration `yaml:"for,omitempty" validate:"gte=0,lte=600000000000"`
 	// Kind is kill_entries, kill_agents, crash_endpoints, slow_endpoints,
-	// unanswered_calls, burst or deadly_jobs. A deadly job crashes each endpoint that
-	// starts its first task.
-	Kind string `yaml:"kind" validate:"required,oneof=kill_entries kill_agents crash_endpoints slow_endpoints unanswered_calls burst deadly_jobs"`
+	// unanswered_calls, burst, deadly_jobs or move_callers. A deadly job crashes each endpoint that
+	// starts its first task. move_callers moves a share of the callers of the other zones
+	// to one zone.
+	Kind string `yaml:"kind" validate:"required,oneof=kill_entries kill_agents crash_endpoints slow_endpoints unanswered_calls burst deadly_jobs move_callers"`
 	// Share is the share of the entries or agents that are struck, or of a class's
 	// jobs that are deadly. Default 1.
 	Share float64 `yaml:"share,omitempty" validate:"gte=0,lte=1"`
@@ -94,6 +108,8 @@
 	Factor float64 `yaml:"factor,omitempty" validate:"gte=0,lte=100"`
 	// Class is the class of a burst or of deadly jobs; all classes if empty.
 	Class string `yaml:"class,omitempty"`
+	// Zone is the zone that callers move to.
+	Zone string `yaml:"zone,omitempty"`
 }
 
 // Load reads an experiment from a YAML file and checks it.
--- a/emulator/fault.go
+++ b/emulator/fault.go
@@ -1,5 +1,7 @@
 package emulator
 
+import "slices"
+
 // strike applies a fault and, after its time, ends it.
 func (s *simulation) strike(f Fault) {
 	switch f.Kind {
@@ -15,6 +17,9 @@
 				s.clock.after(f.For, func() { s.rateFactor[i] /= f.Factor })
 			}
 		}
+	case "move_callers":
+		s.moves = append(s.moves, f)
+		s.clock.after(f.For, func() { s.moves = slices.DeleteFunc(s.moves, func(m Fault) bool { return m == f }) })
 	case "deadly_jobs":
 		for i, c := range s.experiment.Classes {
 			if f.Class == "" || f.Class == c.Name {
--- a/emulator/nodes.go
+++ b/emulator/nodes.go
@@ -27,8 +27,9 @@
 	return t
 }
 
-func entrySettings() settings.PoolEntry {
-	s := settings.PoolEntry{Timing: timing()}
+func (n *entryNode) settings() settings.PoolEntry {
+	s := settings.PoolEntry{Timing: timing(), LoadSharing: n.sim.experiment.Fleet.LoadSharing}
+	s.Zone = n.zone
 	s.ApplyDefaults()
 	return s
 }
@@ -43,6 +44,7 @@
 type entryNode struct {
 	sim    *simulation
 	name   string
+	zone   string
 	cores  float64
 	weight float64
 	core   *scheduler.Core
@@ -61,13 +63,14 @@
 func (n *entryNode) boot() {
 	n.life++
 	n.alive, n.inbox, n.planned = true, nil, false
-	n.core = scheduler.New(node.SchedulerOptions(entrySettings()))
+	n.core = scheduler.New(node.SchedulerOptions(n.settings()))
 	n.unreported = message.CompletedJobs{}
 	for _, other := range n.sim.entries {
 		if other != n && other.alive {
 			n.deliverLater(scheduler.CrashesShared{Notice: other.core.RecentCrashes()})
 		}
 	}
+	n.sim.connectPeers(n)
 }
 
 func (n *entryNode) deliver(ev scheduler.Event) {
@@ -122,10 +125,12 @@
 		n.sim.links[uint64(action.Session)].close()
 	case scheduler.Answer:
 		n.sim.answered(action)
+	case scheduler.SendForwardOrders, scheduler.SendForwardReport, scheduler.ForwardNote:
+		n.sim.forward(action)
 	case scheduler.ShareCrashes:
 		n.broadcast(scheduler.CrashesShared(action))
 	case scheduler.JobEnded:
-		if action.Outcome == scheduler.JobCompleted {
+		if action.Outcome == scheduler.JobCompleted && action.Host == "" {
 			n.jobCompleted(action)
 		}
 	}
@@ -169,6 +174,7 @@
 	n.alive = false
 	n.life++
 	n.sim.entryDied(n)
+	n.sim.disconnectPeers(n)
 	n.sim.clock.after(down, func() {
 		n.boot()
 		n.sim.reconnect()
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -59,6 +59,13 @@
 	OverBudget int `json:"over_budget"`
 	// GivenUp counts sound jobs that were answered as failed.
 	GivenUp int `json:"given_up"`
+	// RefusedWhileFree counts jobs that were refused while endpoints had free capacity for
+	// all their tasks, Forwarded the jobs sent to other entries, ForwardedRun those that were
+	// run there, and PeerMessages the messages between entries about them.
+	RefusedWhileFree int `json:"refused_while_free"`
+	Forwarded        int `json:"forwarded"`
+	ForwardedRun     int `json:"forwarded_run"`
+	PeerMessages     int `json:"peer_messages"`
 	// Interrupted is set when the run was ended before its time.
 	Interrupted bool `json:"interrupted,omitempty"`
 }
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"marjoramlug.example/marjoramlug/kernel"
 	"marjoramlug.example/marjoramlug/message"
 	"marjoramlug.example/marjoramlug/pool/executor"
 	"marjoramlug.example/marjoramlug/pool/node"
@@ -50,10 +51,14 @@
 	agents           []*agentNode
 	links            map[uint64]*link
 	sessions         uint64
-	jobs             map[string]*job
-	waiters          map[scheduler.Waiter]*job
-	lastWaiter       scheduler.Waiter
-	open             int
+	peerLinks        kernel.OrderedMap[scheduler.PeerSession, *peerLink]
+	// zones lists the entries' zones, moves the present moves of callers.
+	zones      []string
+	moves      []Fault
+	jobs       map[string]*job
+	waiters    map[scheduler.Waiter]*job
+	lastWaiter scheduler.Waiter
+	open       int
 	// aliveRuns counts the runs of each task that are alive.
 	aliveRuns map[taskKey]int
 	// rateFactor multiplies the rates of the classes during bursts.
@@ -131,7 +136,10 @@
 	var addresses []string
 	for _, g := range s.experiment.Fleet.Entries {
 		for range g.Count {
-			n := &entryNode{sim: s, name: fmt.Sprintf("entry-%d", len(s.entries)), cores: g.Cores, weight: g.Weight}
+			n := &entryNode{sim: s, name: fmt.Sprintf("entry-%d", len(s.entries)), zone: g.Zone, cores: g.Cores, weight: g.Weight}
+			if !slices.Contains(s.zones, g.Zone) {
+				s.zones = append(s.zones, g.Zone)
+			}
 			n.boot()
 			s.entries = append(s.entries, n)
 			addresses = append(addresses, n.name)
@@ -250,7 +258,7 @@
 	total := 0.0
 	for _, n := range s.entries {
 		if n.alive {
-			total += n.weight
+			total += s.weightNow(n)
 		}
 	}
 	at := s.random.Float64() * total
@@ -260,7 +268,7 @@
 			continue
 		}
 		drawn = n
-		if at -= n.weight; at < 0 {
+		if at -= s.weightNow(n); at < 0 {
 			break
 		}
 	}
@@ -275,6 +283,9 @@
 	}
 	switch {
 	case a.Answer.Verdict == verdict.NotRun:
+		if s.refusedWhileFree(j) {
+			s.result.RefusedWhileFree++
+		}
 		s.finish(j, outcomeRefused)
 	case a.Answer.Failed:
 		if a.Answer.Reason == verdict.ReasonTaskFailed && !j.deadly {
