Soak: entries share load; a test for heartbeats read after a pause

TestOldHeartbeatsDoNotKeepAJob guards against a host that goes on with a job after a pause because it reads heartbeats from before the origin gave the job up; seen to fail when the time of reading counts in place of the echoed timestamp (open job left at the host).

--- a/pool/scheduler/forward_test.go
+++ b/pool/scheduler/forward_test.go
@@ -258,6 +258,25 @@
 	}
 }
 
+// TestOldHeartbeatsDoNotKeepAJob guards against a host that goes on with a job after a pause
+// because it reads heartbeats that the origin sent before it gave the job up.
+func TestOldHeartbeatsDoNotKeepAJob(t *testing.T) {
+	is := is.New(t)
+	cl := newCluster(t, 2, 2)
+	j := cl.forwardOne(t)
+	for _, run := range cl.allRuns(1) {
+		run.doneAt += 10 * time.Second
+	}
+	cl.frozen[1] = true
+	cl.advance(300 * time.Millisecond)
+	cl.cut[[2]int{0, 1}] = true // the cancellation is lost
+	cl.advance(300 * time.Millisecond)
+	is.True(j.answer != nil && j.answer.Verdict == verdict.MayHaveRun)
+	clear(cl.frozen)
+	cl.advance(20 * time.Millisecond)
+	is.Equal(cl.sims[1].core.OpenJobs(), 0) // agents have stopped the runs in the pause
+}
+
 // TestHostThatRefusesGivesTheJobBack guards against an untrue "not run" and against jobs
 // that are lost with a wrong report: the origin sends the job to one more peer, with higher
 // run numbers, or refuses it.
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -169,7 +169,7 @@
 	c.must(err)
 	e.callers, err = newTCPProxy(callers)
 	c.must(err)
-	c.write(e.name, fmt.Sprintf("pool_entry:\n  name: %s\n  listen: %s\n  advertise: %s\n  http: %s\n  readiness: %s\n  metrics: %s%s",
+	c.write(e.name, fmt.Sprintf("pool_entry:\n  name: %s\n  listen: %s\n  advertise: %s\n  http: %s\n  readiness: %s\n  metrics: %s\n  load_sharing: true%s",
 		e.name, listenAddress, e.peerProxy.address(), callers, freeTCP(c.t), freeTCP(c.t), c.commonSettings()))
 	c.must(e.start(c.record))
 	// Also ends the process when setting up the cluster fails.
