Load sharing: ask peers less often that have no room for the jobs that wait

Cause: a peer counted as having free capacity if any remained on its endpoints. In overload, rests too small for a task are always free, so that the interval between requests never grew.

Change: the interval grows with reports without room for a job that waits for them.

--- a/pool/scheduler/peer.go
+++ b/pool/scheduler/peer.go
@@ -16,7 +16,7 @@
 	// run time of short tasks, after which most of what was free is used otherwise.
 	reportValidity = 100 * time.Millisecond
 	// askInterval is the minimum interval between two requests to one peer. It doubles up
-	// to maxAskInterval with each report without free capacity, so that entries that are
+	// to maxAskInterval with each report without room for a job that waits, so that entries that are
 	// all short of it spend little processor time on requests.
 	askInterval    = 50 * time.Millisecond
 	maxAskInterval = 400 * time.Millisecond
@@ -90,19 +90,23 @@
 	}
 	p.lastHeard, p.excused, p.answered = c.now, 0, true
 	p.reportTimestamp, p.echoDue, p.free = report.Timestamp, true, report.Free
-	if len(report.Free) > 0 {
-		p.askPause = askInterval
-	} else {
-		p.askPause = min(2*p.askPause, maxAskInterval)
-	}
 	for i := range report.Answers {
 		c.forwardAnswered(p, &report.Answers[i])
 	}
+	awaited, useful := false, false
 	for _, j := range c.jobOrder {
 		if j.forward.awaitsReport && !j.answered {
 			j.reviewAt = c.now
+			tasks := int64(len(j.tasks))
+			awaited, useful = true, useful || c.tasksInTime(p, j, tasks) == tasks
 		}
 	}
+	switch {
+	case useful:
+		p.askPause = askInterval
+	case awaited:
+		p.askPause = min(2*p.askPause, maxAskInterval)
+	}
 }
 
 // checkPeers gives up the peers that have jobs and send nothing. This entry echoes nothing
