Fairness: shares of priorities, queues and callers

Cause: beyond the capacity, entries order queues by their offered load alone: a lower priority with less load goes before a higher one, and nothing limits a caller with most of a queue's load. Entries will exchange the loads of their queues (EntryState.Loads, field 3), so that each serves the same part of a queue's load.

--- a/message/run.go
+++ b/message/run.go
@@ -230,4 +230,16 @@
 type EntryState struct {
 	// Waiting is the number of jobs, by queue, of which no task has started.
 	Waiting map[string]int `cbor:"1,keyasint,omitempty"`
+	// Loads holds the load, by queue, of an entry that shares capacity; see pool/fairness.
+	// Field 2 is used by evacuations.
+	Loads map[string]QueueLoad `cbor:"3,keyasint,omitempty"`
+}
+
+// QueueLoad is the load of a queue at an entry, in thousandths of a core.
+type QueueLoad struct {
+	// Offered is the load that callers submit, Served the load that is started.
+	Offered float64 `cbor:"1,keyasint,omitempty"`
+	Served  float64 `cbor:"2,keyasint,omitempty"`
+	// Priority is the queue's priority, lower ones first.
+	Priority int `cbor:"3,keyasint,omitempty"`
 }
