Entries: capacity shared between priorities, queues and callers, by a setting

Change: the setting sharing.floor of entries, off by default. With it pool/scheduler orders jobs, estimates waits and ranks demands by pool/fairness. Jobs have a priority and a caller, the address of the client's connection. A wide job goes ahead of narrow ones of its class by the time that its work takes, at most half of what it can wait; a job with started tasks counts as within its share. Entries send the loads of their queues with their state. Metric jobs.beyond_share. The tests fail without the caller's limit, without the taking back of refused starts, with urgent demands ranked like others, with Retry-After as before, and with wide jobs ranked last.

--- a/pool/node/agent.go
+++ b/pool/node/agent.go
@@ -273,6 +273,9 @@
 // each other.
 const publishInterval = time.Second
 
+// StateInterval is the interval at which an entry broadcasts its state to the others.
+const StateInterval = publishInterval
+
 func (a *Agent) publish() {
 	counters := a.core.Counters()
 	m := a.opts.Metrics
--- a/pool/node/entry.go
+++ b/pool/node/entry.go
@@ -88,6 +88,7 @@
 	return scheduler.Options{
 		HeartbeatTimeout: s.Timing.HeartbeatTimeout, Lease: s.Timing.Lease, StopTime: s.Timing.StopTime,
 		ResubmitDelay: s.Timing.ResubmitDelay, MaxWaiting: s.MaxWaiting,
+		SharingFloor: s.Sharing.Floor,
 	}
 }
 
@@ -118,7 +119,7 @@
 			e.step(ev)
 		case <-publish.C:
 			e.publish()
-			e.peers.broadcastState(e.core.WaitingJobs())
+			e.peers.broadcastState(e.core.WaitingJobs(), e.core.QueueLoads())
 		}
 	}
 }
@@ -349,6 +350,7 @@
 	m.Set("runs.rescued", counters.StalledRuns)
 	m.Set("jobs.late", counters.Late)
 	m.Set("jobs.given_up", counters.GivenUp)
+	m.Set("jobs.beyond_share", counters.BeyondShare)
 	m.Set("endpoint.crashes", counters.Crashes)
 	m.Set("entry.stalls", counters.ProcessPauses)
 	m.Set("jobs.open", int64(e.core.OpenJobs()))
--- a/pool/node/peers.go
+++ b/pool/node/peers.go
@@ -96,6 +96,9 @@
 		p.mu.Lock()
 		p.waitingJobs[c.Peer().Name] = m.Waiting
 		p.mu.Unlock()
+		if len(m.Loads) > 0 && p.entry.settings.Sharing.Floor > 0 {
+			p.entry.post(entryEvent{event: scheduler.LoadsShared{Entry: c.Peer().Name, Loads: m.Loads}})
+		}
 	case *message.CrashNotice:
 		p.entry.post(entryEvent{event: scheduler.CrashesShared{Notice: m}})
 	case *message.JobSearch:
@@ -209,8 +212,8 @@
 	return scheduler.JobsCompletedElsewhere{IDs: m.Jobs, BlamedQueues: m.BlamedQueues}
 }
 
-func (p *peers) broadcastState(waiting map[string]int) {
-	p.broadcast(&message.EntryState{Waiting: waiting})
+func (p *peers) broadcastState(waiting map[string]int, loads map[string]message.QueueLoad) {
+	p.broadcast(&message.EntryState{Waiting: waiting, Loads: loads})
 }
 
 // broadcast sends a message to all other entries. A connection that fails to send
--- a/pool/scheduler/admission.go
+++ b/pool/scheduler/admission.go
@@ -86,6 +86,9 @@
 // workBefore returns the work, in thousandths of a core times seconds, of the waiting
 // tasks of other jobs that rank before a job: of the confined jobs or of the rest.
 func (c *Core) workBefore(j *job, confined bool) float64 {
+	if c.sharing != nil && !confined {
+		return c.sharedWorkBefore(j)
+	}
 	work := 0.0
 	rank := c.rank(j)
 	for _, other := range c.jobOrder {
@@ -103,6 +106,9 @@
 // rank before a job whenever they arrive: those of queues with a lower rank, and
 // all if the job is late.
 func (c *Core) loadBefore(j *job) float64 {
+	if c.sharing != nil {
+		return c.sharedLoadBefore(j)
+	}
 	load := 0.0
 	own := j.queue.offeredLoad.rate(c.now)
 	for _, q := range c.queueList {
@@ -122,6 +128,13 @@
 // core. While capacity is short, work starts at the rate at which running work
 // ends, which is known before starts have been counted for long.
 func (c *Core) startRate() float64 {
+	if c.sharing != nil {
+		return c.sharedStartRate()
+	}
+	return c.measureStartRate()
+}
+
+func (c *Core) measureStartRate() float64 {
 	running := 0.0
 	for _, a := range c.agentList {
 		for _, r := range a.runs.All() {
@@ -131,9 +144,12 @@
 	return max(c.started.rate(c.now), running, minStartRateMilliCPU)
 }
 
-// retryAfter returns the time after which a refused caller may expect free
-// capacity.
-func (c *Core) retryAfter() time.Duration {
+// retryAfter returns the time after which the caller of a refused job may expect
+// free capacity.
+func (c *Core) retryAfter(j *job) time.Duration {
+	if c.sharing != nil {
+		return c.sharedRetryAfter(j)
+	}
 	work := 0.0
 	for _, j := range c.jobOrder {
 		if !j.answered {
--- a/pool/scheduler/core.go
+++ b/pool/scheduler/core.go
@@ -27,6 +27,9 @@
 	// MaxWaiting limits the number of waiting tasks; jobs beyond it are
 	// refused.
 	MaxWaiting int
+	// SharingFloor, if above 0, divides the capacity between priorities, queues and callers;
+	// each queue is guaranteed this part of its max-min fair share. See pool/fairness.
+	SharingFloor float64
 }
 
 const (
@@ -96,6 +99,8 @@
 	// started is the rate, in thousandths of a core, at which this entry starts
 	// work.
 	started decayingRate
+	// sharing is nil without Options.SharingFloor.
+	sharing *sharing
 
 	// crashes and suspects hold the crashes of the last minute and the jobs under them.
 	crashes  kernel.OrderedMap[crashID, *crashRecord]
@@ -131,6 +136,8 @@
 	// Crashes counts the crashes of endpoints that were reported, GivenUp the jobs
 	// that were given up as their tasks crash endpoints.
 	Crashes, GivenUp int64
+	// BeyondShare counts jobs that were refused beyond the share of their queue or caller.
+	BeyondShare int64
 }
 
 // New returns a core without jobs and agents.
@@ -146,6 +153,7 @@
 		completed:     map[string]time.Duration{},
 		fleet:         fleet{medianSlowness: 1},
 		started:       decayingRate{timeConstant: startRateTimeConstant},
+		sharing:       newSharing(opts.SharingFloor),
 	}
 }
 
@@ -201,6 +209,10 @@
 		c.jobsSurvivedElsewhere(ev.BlamedQueues)
 	case CrashesShared:
 		c.takeNotice(ev.Notice)
+	case LoadsShared:
+		if c.sharing != nil {
+			c.sharing.shares.SetRemote(c.now, ev.Entry, ev.Loads)
+		}
 	case AgentConnected:
 		c.connect(ev)
 	case AgentDisconnected:
--- a/pool/scheduler/event.go
+++ b/pool/scheduler/event.go
@@ -21,10 +21,15 @@
 	Queue   string
 	Service string
 	// Urgent jobs start before all others.
-	Urgent  bool
-	Payload string
-	Tasks   int
-	Need    message.Resources
+	Urgent bool
+	// Priority is the priority of the queue, lower ones first, and Caller identifies who
+	// submitted the job. They count only with Options.SharingFloor; Urgent stands for
+	// priority 0.
+	Priority int
+	Caller   string
+	Payload  string
+	Tasks    int
+	Need     message.Resources
 	// Estimate is the caller's rough estimate of a task's run time.
 	Estimate time.Duration
 	// Label is the label that an endpoint must have; empty if any endpoint will
@@ -74,6 +79,12 @@
 // CrashesShared is sent when another entry shares what it knows of crashes.
 type CrashesShared struct{ Notice *message.CrashNotice }
 
+// LoadsShared is sent when another entry shares the loads of its queues.
+type LoadsShared struct {
+	Entry string
+	Loads map[string]message.QueueLoad
+}
+
 // AgentConnected opens a session.
 type AgentConnected struct {
 	Session     Session
@@ -101,6 +112,7 @@
 func (CancelRequested) event()        {}
 func (JobsCompletedElsewhere) event() {}
 func (CrashesShared) event()          {}
+func (LoadsShared) event()            {}
 func (AgentConnected) event()         {}
 func (AgentDisconnected) event()      {}
 func (AgentReported) event()          {}
--- a/pool/scheduler/job.go
+++ b/pool/scheduler/job.go
@@ -14,6 +14,7 @@
 	*Job
 	queue    *queue
 	received time.Duration
+	share    share
 	waiters  []Waiter
 	tasks    []task
 	// waiting and done count tasks; runs counts the runs ordered and not
@@ -95,6 +96,7 @@
 	j.tasks = make([]task, in.Tasks)
 	j.queue.urgent, j.queue.service = in.Urgent, in.Service
 	j.queue.offeredLoad.add(c.now, j.work(in.Tasks))
+	c.shareSubmitted(j)
 	j.reviewAt = c.now + firstReview
 	c.jobs[in.ID] = j
 	c.waiters[w] = j
@@ -141,6 +143,7 @@
 	j.answered = true
 	delete(c.jobs, j.ID)
 	c.waiting -= j.waiting
+	c.shareEnded(j, outcome)
 	unplaced, unended := j.waiting, 0
 	for i := range j.tasks {
 		if r := j.tasks[i].run; r != nil {
@@ -190,7 +193,7 @@
 		answer.Verdict, answer.Reason = verdict.Ran, verdict.ReasonTaskFailed
 	case JobRefused:
 		answer.Reason = verdict.ReasonQueueFull
-		retryAfter := c.retryAfter()
+		retryAfter := c.retryAfter(j)
 		if j.isConfined() {
 			retryAfter = max(retryAfter, crashOutage)
 		}
--- a/pool/scheduler/place.go
+++ b/pool/scheduler/place.go
@@ -31,6 +31,9 @@
 	startRateTimeConstant = time.Second
 )
 
+// demandBandWidth is the distance between the ranks of the bands in the demands of entries.
+const demandBandWidth = 100
+
 // The priority bands, in the order in which their jobs start.
 const (
 	bandUrgent = iota
@@ -70,6 +73,9 @@
 // smallest offered load is served completely before a larger one gets more
 // (max-min fairness between queues).
 func (c *Core) rank(j *job) float64 {
+	if c.sharing != nil {
+		return c.sharedRank(j)
+	}
 	const bandWidth = 1e9
 	return float64(c.band(j))*bandWidth + math.Round(j.queue.offeredLoad.rate(c.now)/1000)
 }
@@ -80,16 +86,16 @@
 // the others would rank behind them. Without rounding, small differences
 // between the shares would decide.
 func (c *Core) demandRank(j *job) float64 {
-	const (
-		bandWidth = 100
-		doublings = 10
-	)
+	if c.sharing != nil {
+		return c.sharedDemandRank(j)
+	}
+	const doublings = 10
 	total := 0.0
 	for _, q := range c.queueList {
 		total += q.offeredLoad.rate(c.now)
 	}
 	share := j.queue.offeredLoad.rate(c.now) / max(total, 1)
-	return float64(c.band(j))*bandWidth + max(0, doublings+math.Round(math.Log2(max(share, 1e-6))))
+	return float64(c.band(j))*demandBandWidth + max(0, doublings+math.Round(math.Log2(max(share, 1e-6))))
 }
 
 // candidates returns the jobs that wait for starts, ordered by rank. A job that
@@ -104,7 +110,7 @@
 		}
 	}
 	slices.SortStableFunc(list, func(a, b *job) int {
-		return cmp.Or(cmp.Compare(ranks[a], ranks[b]), compareStarted(a, b), cmp.Compare(a.received, b.received))
+		return cmp.Or(cmp.Compare(ranks[a], ranks[b]), compareStarted(a, b), cmp.Compare(a.share.queuedAt, b.share.queuedAt))
 	})
 	return list
 }
@@ -354,5 +360,6 @@
 	c.waiting--
 	c.counters.Runs++
 	c.started.add(c.now, j.work(1))
+	c.shareStarted(j, 1)
 	c.isolationStarted(j, i, a)
 }
--- a/pool/scheduler/queue.go
+++ b/pool/scheduler/queue.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"marjoramlug.example/marjoramlug/pool/fairness"
 )
 
 const (
@@ -41,6 +43,9 @@
 	// deadly is set while the queue's jobs crash so many endpoints that they are
 	// confined to a part of them.
 	deadly bool
+	// share is the queue's load, backlog its waiting work, with Options.SharingFloor.
+	share   *fairness.Queue
+	backlog fairness.Backlog
 }
 
 // fleet holds the statistics of all agents together.
--- a/pool/scheduler/run.go
+++ b/pool/scheduler/run.go
@@ -96,6 +96,7 @@
 		j.lost++
 	case message.RunRefused:
 		j.runs--
+		c.shareStarted(j, -1)
 		c.refused(t, r, end.Cause)
 	}
 	t.state = taskWaiting
--- a/pool/scheduler/simulation_test.go
+++ b/pool/scheduler/simulation_test.go
@@ -32,6 +32,8 @@
 	hangs map[string]bool
 	// pauses counts the pauses of agents.
 	pauses int
+	// caller is Job.Caller of submitted jobs.
+	caller string
 	// shared holds the notices of crashes to other entries.
 	shared []*message.CrashNotice
 }
@@ -224,7 +226,7 @@
 func (sim *simulation) submitExactly(k jobKind, runTime, estimate time.Duration) *testJob {
 	sim.lastWaiter++
 	j := &testJob{sent: sim.now, runTime: runTime, Job: &Job{
-		ID: fmt.Sprint(k.queue, "-", sim.lastWaiter), Queue: k.queue, Service: "s", Urgent: k.urgent, Tasks: k.tasks,
+		ID: fmt.Sprint(k.queue, "-", sim.lastWaiter), Queue: k.queue, Caller: sim.caller, Service: "s", Urgent: k.urgent, Tasks: k.tasks,
 		Need:     message.Resources{MilliCPU: 6200},
 		Estimate: estimate,
 		Stretch:  1.6, Slack: 60 * time.Millisecond, Attempts: 3, Deadline: sim.now + 8*time.Second, FirstRun: 1,
--- a/settings/pool.go
+++ b/settings/pool.go
@@ -21,6 +21,17 @@
 	// MaxWaiting bounds the queued tasks. Default 5000: ten seconds of work of
 	// the largest entry in use.
 	MaxWaiting int `yaml:"max_waiting,omitempty" validate:"gte=0"`
+	// Sharing divides an entry's capacity between priorities, queues and callers.
+	Sharing Sharing `yaml:"sharing,omitempty"`
+}
+
+// Sharing is the setting by which entries share capacity. It should be the same at all
+// entries.
+type Sharing struct {
+	// Floor is the part of its max-min fair share that each queue is guaranteed, however much
+	// is offered with a lower priority number. 0, the default, orders queues by their load
+	// alone.
+	Floor float64 `yaml:"floor,omitempty" validate:"gte=0,lte=1"`
 }
 
 // PoolAgent is the settings of an agent of a pool.
