Simulate: priorities, callers and the shares of jobs in time by width and caller

Cause: the emulator could not compare policies by caller or width, nor the setting sharing.floor. Change: classes have a priority and callers, the first of which may submit a given share; the policy "sharing" plays the setting; a second table shows the shares of jobs in time by width and caller.

--- a/emulator/experiment.go
+++ b/emulator/experiment.go
@@ -22,6 +22,9 @@
 	// Classes are the kinds of job; each is a queue of its own.
 	Classes []Class `yaml:"classes" validate:"required,min=1,dive"`
 	Faults  []Fault `yaml:"faults,omitempty" validate:"dive"`
+	// SharingFloor, if above 0, also plays the product's policy with the setting
+	// sharing.floor of entries.
+	SharingFloor float64 `yaml:"sharing_floor,omitempty" validate:"gte=0,lte=1"`
 }
 
 // Fleet describes entries, agents and the network between them.
@@ -60,6 +63,12 @@
 	// Rate is the number of jobs a second.
 	Rate   float64 `yaml:"rate" validate:"gt=0,lte=100000"`
 	Urgent bool    `yaml:"urgent,omitempty"`
+	// Priority is the priority of the queue among those that are not urgent, Callers the
+	// number of its callers. The first of them submits HotShare of the jobs, if set, and
+	// the others submit the rest in equal parts.
+	Priority int     `yaml:"priority,omitempty" validate:"gte=0,lte=7"`
+	Callers  int     `yaml:"callers,omitempty" validate:"gte=0,lte=100000"`
+	HotShare float64 `yaml:"hot_share,omitempty" validate:"gte=0,lte=1"`
 	// Tasks is the mean number of tasks, Cores what one task takes, Work its mean run
 	// time on an endpoint of slowness 1.
 	Tasks int           `yaml:"tasks" validate:"gt=0,lte=1900"`
--- a/emulator/nodes.go
+++ b/emulator/nodes.go
@@ -61,7 +61,9 @@
 func (n *entryNode) boot() {
 	n.life++
 	n.alive, n.inbox, n.planned = true, nil, false
-	n.core = scheduler.New(node.SchedulerOptions(entrySettings()))
+	s := entrySettings()
+	s.Sharing.Floor = n.sim.sharingFloor
+	n.core = scheduler.New(node.SchedulerOptions(s))
 	n.unreported = message.CompletedJobs{}
 	for _, other := range n.sim.entries {
 		if other != n && other.alive {
@@ -145,6 +147,13 @@
 	}
 }
 
+// shareLoads tells the other entries the loads of the queues.
+func (n *entryNode) shareLoads() {
+	if loads := n.core.QueueLoads(); n.alive && len(loads) > 0 {
+		n.broadcast(scheduler.LoadsShared{Entry: n.name, Loads: loads})
+	}
+}
+
 // jobCompleted tells the other entries of a job, together with those that complete
 // within the interval.
 func (n *entryNode) jobCompleted(j scheduler.JobEnded) {
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -84,6 +84,54 @@
 	Worth   float64 `json:"worth"`
 	// RefusedAfter is the mean time until a refusal, in objectives.
 	RefusedAfter float64 `json:"refused_after"`
+	// InTimeBy is the share of jobs in time of the widest tenth, of the fifth below, of the
+	// other widths, of the first caller and of the other callers.
+	InTimeBy [jobGroups]float64 `json:"in_time_by"`
+	ended    []endedJob
+}
+
+// Groups of a class's jobs: three by width, two by caller.
+const (
+	groupWidest = iota
+	groupWide
+	groupNarrow
+	groupFirstCaller
+	groupOtherCallers
+	jobGroups
+)
+
+// endedJob is what ClassResult.InTimeBy is computed from.
+type endedJob struct {
+	tasks, caller int
+	inTime        bool
+}
+
+// group computes InTimeBy.
+func (c *ClassResult) group() {
+	slices.SortStableFunc(c.ended, func(a, b endedJob) int { return cmp.Compare(b.tasks, a.tasks) })
+	var inTime, jobs [jobGroups]float64
+	for i, j := range c.ended {
+		width := groupNarrow
+		switch {
+		case 10*i < len(c.ended):
+			width = groupWidest
+		case 10*i < 3*len(c.ended):
+			width = groupWide
+		}
+		caller := groupOtherCallers
+		if j.caller == 0 {
+			caller = groupFirstCaller
+		}
+		for _, g := range []int{width, caller} {
+			jobs[g]++
+			if j.inTime {
+				inTime[g]++
+			}
+		}
+	}
+	for g := range jobs {
+		c.InTimeBy[g] = share(inTime[g], jobs[g])
+	}
 }
 
 func newResult(x *Experiment, seed int64) *Result {
@@ -127,6 +175,7 @@
 	case outcomeFailed:
 		c.Failed++
 	}
+	c.ended = append(c.ended, endedJob{len(j.works), j.caller, o == outcomeInTime})
 	c.Worth += earned / value
 	w := &r.Windows[min(int((j.sent-settleTime)/windowLength), len(r.Windows)-1)]
 	w.Jobs++
@@ -156,6 +205,7 @@
 	for i := range r.Classes {
 		c := &r.Classes[i]
 		c.Worth = share(c.Worth, float64(c.Jobs))
+		c.group()
 		c.RefusedAfter = share(c.RefusedAfter, float64(c.Refused))
 	}
 	for _, n := range s.entries {
--- a/emulator/runner.go
+++ b/emulator/runner.go
@@ -18,6 +18,8 @@
 	PolicyProduct = "product"
 	// PolicyPerfect is one queue with perfect knowledge.
 	PolicyPerfect = "perfect"
+	// PolicySharing is the product's own with capacity shared by the setting sharing.floor.
+	PolicySharing = "sharing"
 )
 
 // Report holds the results of an experiment, by policy and in the order of its seeds.
@@ -37,10 +39,14 @@
 // and calls progress after each. When ctx ends, it returns the runs that were played
 // to their end, with Report.Interrupted set.
 func RunAll(ctx context.Context, x *Experiment, parallel int, progress func(policy string, r *Result)) (*Report, error) {
-	policies := []struct {
+	type policy struct {
 		name string
 		run  func(context.Context, *Experiment, int64) *Result
-	}{{PolicyProduct, Run}, {PolicyPerfect, RunPerfect}}
+	}
+	policies := []policy{{PolicyProduct, Run}, {PolicyPerfect, RunPerfect}}
+	if x.SharingFloor > 0 {
+		policies = append(policies, policy{PolicySharing, RunSharing})
+	}
 	results := make([][]*Result, len(policies))
 	var group errgroup.Group
 	group.SetLimit(max(parallel, 1))
@@ -114,10 +120,26 @@
 				IntervalOf(p.Results, func(r *Result) float64 { return r.Classes[c].RefusedAfter }).Mean)
 		}
 	}
+	r.writeShares(table, x)
 	// The errors of the lines above are kept by the writer and returned here.
 	return table.Flush()
 }
 
+// writeShares writes the shares of jobs in time by width and by caller.
+func (r *Report) writeShares(table io.Writer, x *Experiment) {
+	_, _ = fmt.Fprintln(table, "\t\t\t\t\t\t\t")
+	_, _ = fmt.Fprintln(table, "policy\tclass\tin time: widest tenth\tnext fifth\tother widths\tfirst caller\tother callers\t")
+	for _, p := range r.Policies {
+		for c, class := range x.Classes {
+			_, _ = fmt.Fprintf(table, "%s\t%s", p.Policy, class.Name)
+			for group := range jobGroups {
+				_, _ = fmt.Fprintf(table, "\t%.3f", IntervalOf(p.Results, func(r *Result) float64 { return r.Classes[c].InTimeBy[group] }).Mean)
+			}
+			_, _ = fmt.Fprint(table, "\t\n")
+		}
+	}
+}
+
 // WriteCSV writes a row for each run and window: policy, seed, the window's start in
 // seconds, jobs and worth.
 func (r *Report) WriteCSV(w io.Writer) error {
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -63,13 +63,17 @@
 	// perfect replaces entries and agents in runs with perfect knowledge.
 	perfect *perfectQueue
 	result  *Result
+	// sharingFloor is the setting of entries.
+	sharingFloor float64
 }
 
 // job is a caller's job.
 type job struct {
 	id    string
 	class int
-	need  message.Resources
+	// caller numbers the callers of the class.
+	caller int
+	need   message.Resources
 	// works holds the run time of each task on an endpoint of slowness 1.
 	works     []time.Duration
 	estimate  time.Duration
@@ -96,6 +100,16 @@
 	return s.result
 }
 
+// RunSharing plays an experiment with one seed, with entries that share capacity as
+// Experiment.SharingFloor says.
+func RunSharing(ctx context.Context, x *Experiment, seed int64) *Result {
+	s := newSimulation(x, seed)
+	s.sharingFloor = x.SharingFloor
+	s.buildFleet()
+	s.play(ctx)
+	return s.result
+}
+
 func newSimulation(x *Experiment, seed int64) *simulation {
 	s := &simulation{
 		experiment: x, timing: timing(),
@@ -141,6 +155,7 @@
 	for _, n := range s.entries {
 		byName[n.name] = n
 		s.clock.every(node.EntryTick, func() { n.deliver(scheduler.Tick{}) })
+		s.clock.every(node.StateInterval, n.shareLoads)
 	}
 	for _, g := range s.experiment.Fleet.Agents {
 		for range g.Count {
@@ -205,12 +220,26 @@
 	j.objective = time.Duration(c.Stretch*float64(longest)) + c.Slack
 	j.deadline = j.sent + minDeadline + deadlineObjectives*j.objective
 	j.deadly = s.deadlyShare[class] > 0 && s.arrivals.Float64() < s.deadlyShare[class]
+	j.caller = s.drawCaller(c)
 	s.jobs[j.id] = j
 	s.open++
 	s.result.submitted(j)
 	return j
 }
 
+// drawCaller draws who submits a job of a class.
+func (s *simulation) drawCaller(c *Class) int {
+	switch {
+	case c.Callers < 2:
+		return 0
+	case c.HotShare == 0:
+		return s.arrivals.IntN(c.Callers)
+	case s.arrivals.Float64() < c.HotShare:
+		return 0
+	}
+	return 1 + s.arrivals.IntN(c.Callers-1)
+}
+
 // submit sends a job to a live entry, drawn by weight. Without one it is sent again
 // later.
 func (s *simulation) submit(j *job) {
@@ -233,6 +262,7 @@
 	s.waiters[j.waiter] = j
 	j.entry.deliver(scheduler.JobSubmitted{Waiter: j.waiter, Job: &scheduler.Job{
 		ID: j.id, Queue: c.Name, Service: service, Urgent: c.Urgent, Tasks: len(j.works), Need: j.need,
+		Priority: c.Priority, Caller: fmt.Sprintf("caller-%d", j.caller),
 		Estimate: j.estimate, Stretch: c.Stretch, Slack: c.Slack, Attempts: 3,
 		Deadline: j.deadline, ConnectedAt: s.clock.now, FirstRun: s.clock.now.Milliseconds() * runNumbersPerMilli,
 	}})
