Sharing: nothing is limited at usual load; log lines for limits

Cause: work is served some milliseconds after it is offered, so that the largest queue counted as limited also when all was served; sums that differ by rounding could limit a queue that may get all. Both changed the order of jobs. Operators could not see which queue or caller is limited. Change: queues are limited once 3 % of the offered load is not served. Log lines "queue limited" and "queue no longer limited", at most one a second and queue; the line of a refused job beyond its share names the caller.

--- a/pool/fairness/fairness_test.go
+++ b/pool/fairness/fairness_test.go
@@ -211,6 +211,22 @@
 	}
 }
 
+// TestNothingIsLimitedAtUsualLoad guards against limits, and log lines about them, while all is
+// served: by rounding errors, and as work is served a little after it is offered.
+func TestNothingIsLimitedAtUsualLoad(t *testing.T) {
+	s := newServer(0.5, 100)
+	flows := []flow{{"a", 0, "x", 10.7, 0.1}, {"b", 1, "x", 20.3, 0.13}, {"c", 1, "x", 20.3, 0.7}, {"d", 2, "x", 30.1, 0.9}}
+	s.run(2*time.Second, 0, flows...)
+	for range 400 {
+		s.run(20*time.Millisecond, 0, flows...)
+		for name, q := range s.shares.byName {
+			if q.Limited() {
+				t.Fatalf("queue %s is limited after %v", name, s.now)
+			}
+		}
+	}
+}
+
 // TestSameDecisionAtEachEntry guards against entries that limit a queue differently because
 // different parts of the load reach them.
 func TestSameDecisionAtEachEntry(t *testing.T) {
--- a/pool/fairness/shares.go
+++ b/pool/fairness/shares.go
@@ -15,6 +15,12 @@
 	// updateInterval is the interval between computations of the allocations. They follow
 	// averages over timeConstant; a hundredth of it or less is soon enough.
 	updateInterval = 10 * time.Millisecond
+	// leastShortage is the part of the offered load that must be left unserved before queues are
+	// limited: work is served some milliseconds after it is offered, and a few jobs fail.
+	leastShortage = 0.03
+	// rounding makes up for rounding errors in sums of loads, which would limit a queue that may
+	// get all that it is offered.
+	rounding = 1 + 1e-9
 	// maxPriority is the highest priority that is told apart; higher ones count as this.
 	maxPriority = 7
 	// rescaleAfter is how many time constants the landmark of the averages may lie back;
@@ -137,15 +143,19 @@
 	}
 	s.updatedAt = now
 	s.countTotals()
-	capacity := 0.0
+	capacity, total := 0.0, 0.0
 	s.capacity = 0
 	all := make([]demand, 0, len(s.queues))
 	for _, q := range s.queues {
 		s.capacity += s.rate(q.served)
 		capacity += q.totalServed
+		total += q.totalOffered
 		all = append(all, demand{q.totalOffered, 1})
 	}
-	fair := waterLevel(all, capacity)
+	if capacity >= (1-leastShortage)*total {
+		capacity = total
+	}
+	fair := waterLevel(all, capacity*rounding)
 	var floors, offered [maxPriority + 1]float64
 	left := capacity
 	for _, q := range s.queues {
@@ -170,7 +180,7 @@
 			demands = append(demands, demand{q.totalOffered, 1})
 		}
 	}
-	level := waterLevel(demands, load)
+	level := waterLevel(demands, load*rounding)
 	for _, q := range s.queues {
 		if q.priority != priority {
 			continue
@@ -184,6 +194,14 @@
 	}
 }
 
+// Limited reports whether a queue is offered more than its allocation, as of the last update.
+func (q *Queue) Limited() bool { return q.limited }
+
+// Allocation returns a queue's allocation at this entry and its offered load.
+func (s *Shares) Allocation(q *Queue) (allocated, offered float64) {
+	return q.allocation, s.rate(q.offered)
+}
+
 // Capacity returns the load that was served, as of the last update.
 func (s *Shares) Capacity() float64 { return s.capacity }
 
--- a/pool/node/entry.go
+++ b/pool/node/entry.go
@@ -330,6 +330,9 @@
 	e.opts.Metrics.Add("jobs."+outcome, 1)
 	e.opts.Metrics.Observe("job.time", j.Job.Queue, outcome, j.Age)
 	e.opts.Metrics.Observe("job.waited", j.Job.Queue, outcome, j.Waited)
+	if j.BeyondShare {
+		j.Cause += "; beyond the share of its queue or of caller " + j.Job.Caller
+	}
 	line := e.opts.Log.Failure
 	if j.Outcome == scheduler.JobCompleted && j.Age <= j.Objective {
 		line = e.opts.Log.Routine
--- a/pool/scheduler/core.go
+++ b/pool/scheduler/core.go
@@ -240,6 +240,7 @@
 		c.checkJob(j)
 	}
 	c.compact()
+	c.noteLimitedQueues()
 	c.learnCrashAges()
 	c.forgetCrashes()
 	for len(c.completedOrder) > 0 && c.now-c.completed[c.completedOrder[0]] > completedRetention {
--- a/pool/scheduler/event.go
+++ b/pool/scheduler/event.go
@@ -169,6 +169,8 @@
 	Blame   float64
 	// QueueBlamed is set if crashes are blamed on the job's queue.
 	QueueBlamed bool
+	// BeyondShare is set if the job was refused beyond the share of its queue or caller.
+	BeyondShare bool
 	// WaitingTasks is the number of waiting tasks of all jobs at that moment.
 	WaitingTasks int
 }
--- a/pool/scheduler/job.go
+++ b/pool/scheduler/job.go
@@ -143,7 +143,7 @@
 	j.answered = true
 	delete(c.jobs, j.ID)
 	c.waiting -= j.waiting
-	c.shareEnded(j, outcome)
+	beyondShare := c.shareEnded(j, outcome)
 	unplaced, unended := j.waiting, 0
 	for i := range j.tasks {
 		if r := j.tasks[i].run; r != nil {
@@ -161,7 +161,7 @@
 	ended := JobEnded{
 		Job: j.Job, Outcome: outcome, Cause: cause, Age: c.now - j.received, Objective: j.objective(),
 		Runs: j.runs, Failed: j.failed, Lost: j.lost,
-		Unplaced: unplaced, Unended: unended, WaitingTasks: c.waiting,
+		Unplaced: unplaced, Unended: unended, WaitingTasks: c.waiting, BeyondShare: beyondShare,
 	}
 	if j.runs > 0 {
 		ended.Waited = j.firstStart - j.received
--- a/pool/scheduler/queue.go
+++ b/pool/scheduler/queue.go
@@ -46,6 +46,9 @@
 	// share is the queue's load, backlog its waiting work, with Options.SharingFloor.
 	share   *fairness.Queue
 	backlog fairness.Backlog
+	// limitNoted is the state of the queue's limit that was last logged, at limitNotedAt.
+	limitNoted   bool
+	limitNotedAt time.Duration
 }
 
 // fleet holds the statistics of all agents together.
--- a/pool/scheduler/sharing.go
+++ b/pool/scheduler/sharing.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"time"
 
 	"marjoramlug.example/marjoramlug/message"
@@ -11,6 +12,10 @@
 // narrow ones of its class that came before it: its last task starts later than theirs.
 const headStartShare = 0.5
 
+// limitNoteInterval is the shortest time between two log lines about the limit of a queue,
+// which may change often while the offered load is close to it.
+const limitNoteInterval = time.Second
+
 // The classes fit in a band of the demands.
 const _ = uint(demandBandWidth - fairness.Classes)
 
@@ -87,22 +92,45 @@
 	}
 }
 
-// shareEnded counts a refused job and removes an answered one from the backlog.
-func (c *Core) shareEnded(j *job, outcome Outcome) {
+// shareEnded counts a refused job, removes an answered one from the backlog, and reports whether
+// the job was refused beyond its share.
+func (c *Core) shareEnded(j *job, outcome Outcome) bool {
 	s := c.sharing
 	if s == nil {
-		return
+		return false
+	}
+	beyond := outcome == JobRefused && !s.class(j).IsWithin()
+	if beyond {
+		c.counters.BeyondShare++
 	}
 	if outcome == JobRefused {
-		if !s.class(j).IsWithin() {
-			c.counters.BeyondShare++
-		}
 		s.shares.Refuse(c.now, j.work(j.waiting))
 	}
 	if j.share.countedAt == s.backlogAt {
 		j.queue.backlog.Remove(j.share.place, j.share.work)
 		j.share.countedAt = 0
 	}
+	return beyond
+}
+
+// noteLimitedQueues logs queues that become limited, and those that no longer are.
+func (c *Core) noteLimitedQueues() {
+	if c.sharing == nil {
+		return
+	}
+	c.sharing.shares.Update(c.now)
+	for _, q := range c.queueList {
+		if q.share == nil || q.share.Limited() == q.limitNoted || c.now-q.limitNotedAt < limitNoteInterval {
+			continue
+		}
+		q.limitNoted, q.limitNotedAt = q.share.Limited(), c.now
+		what := "queue no longer limited"
+		if q.limitNoted {
+			what = "queue limited"
+		}
+		allocated, offered := c.sharing.shares.Allocation(q.share)
+		c.emit(Note{What: what, Subject: q.name, Detail: fmt.Sprintf("%.0f of %.0f cores offered", allocated/1000, offered/1000)})
+	}
 }
 
 func (s *sharing) class(j *job) fairness.Class {
--- a/pool/scheduler/simulation_test.go
+++ b/pool/scheduler/simulation_test.go
@@ -32,6 +32,8 @@
 	hangs map[string]bool
 	// pauses counts the pauses of agents.
 	pauses int
+	// noted, if set, receives the notes.
+	noted func(Note)
 	// caller is Job.Caller of submitted jobs.
 	caller string
 	// shared holds the notices of crashes to other entries.
@@ -106,6 +108,9 @@
 		case ShareCrashes:
 			sim.shared = append(sim.shared, action.Notice)
 		case Note:
+			if sim.noted != nil {
+				sim.noted(action)
+			}
 			if action.What == "agent paused" {
 				sim.pauses++
 			}
