--- a/pool/fairness/fairness_test.go
+++ b/pool/fairness/fairness_test.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	tick = 2 * time.Millisecond
+	tick = 4 * time.Millisecond
 	// maxWait is how long a job of the server waits before it is refused.
 	maxWait = 200 * time.Millisecond
 )
