--- a/emulator/experiment.go
+++ b/emulator/experiment.go
@@ -24,6 +24,9 @@
 	Faults  []Fault `yaml:"faults,omitempty" validate:"dive"`
 	// Waves let the load of the zones oscillate, out of phase.
 	Waves Waves `yaml:"waves,omitempty"`
+	// SharingFloor, if above 0, also plays the product's policy with the setting
+	// sharing.floor of entries.
+	SharingFloor float64 `yaml:"sharing_floor,omitempty" validate:"gte=0,lte=1"`
 }
 
 // Waves describe how the callers' share of each zone oscillates; the phases of the zones
@@ -73,6 +76,12 @@
 	// Rate is the number of jobs a second.
 	Rate   float64 `yaml:"rate" validate:"gt=0,lte=100000"`
 	Urgent bool    `yaml:"urgent,omitempty"`
+	// Priority is the priority of the queue among those that are not urgent, Callers the
+	// number of its callers. The first of them submits HotShare of the jobs, if set, and
+	// the others submit the rest in equal parts.
+	Priority int     `yaml:"priority,omitempty" validate:"gte=0,lte=7"`
+	Callers  int     `yaml:"callers,omitempty" validate:"gte=0,lte=100000"`
+	HotShare float64 `yaml:"hot_share,omitempty" validate:"gte=0,lte=1"`
 	// Tasks is the mean number of tasks, Cores what one task takes, Work its mean run
 	// time on an endpoint of slowness 1.
 	Tasks int           `yaml:"tasks" validate:"gt=0,lte=1900"`
--- a/message/forward.go
+++ b/message/forward.go
@@ -37,6 +37,9 @@
 	Attempts       int     `cbor:"15,keyasint,omitempty"`
 	// FirstRun is the number of the first run of each task.
 	FirstRun int64 `cbor:"16,keyasint"`
+	// Priority and Caller are the queue's priority and the caller's address.
+	Priority int    `cbor:"17,keyasint,omitempty"`
+	Caller   string `cbor:"18,keyasint,omitempty"`
 }
 
 // ForwardReport carries what a host sends to an origin. A message without answers is the
--- a/pool/node/entry.go
+++ b/pool/node/entry.go
@@ -96,6 +96,7 @@
 		HeartbeatTimeout: s.Timing.HeartbeatTimeout, Lease: s.Timing.Lease, StopTime: s.Timing.StopTime,
 		ResubmitDelay: s.Timing.ResubmitDelay, MaxWaiting: s.MaxWaiting,
 		LoadSharingPeers: loadSharingPeers, Zone: s.Zone,
+		SharingFloor: s.Sharing.Floor,
 	}
 }
 
@@ -357,6 +358,9 @@
 		e.opts.Metrics.Observe("job.time", j.Job.Queue, outcome, j.Age)
 		e.opts.Metrics.Observe("job.waited", j.Job.Queue, outcome, j.Waited)
 	}
+	if j.BeyondShare {
+		j.Cause += "; beyond the share of its queue or of caller " + j.Job.Caller
+	}
 	line := e.opts.Log.Failure
 	if j.Outcome == scheduler.JobCompleted && j.Age <= j.Objective {
 		line = e.opts.Log.Routine
@@ -378,6 +382,7 @@
 	m.Set("runs.rescued", counters.StalledRuns)
 	m.Set("jobs.late", counters.Late)
 	m.Set("jobs.given_up", counters.GivenUp)
+	m.Set("jobs.beyond_share", counters.BeyondShare)
 	m.Set("endpoint.crashes", counters.Crashes)
 	m.Set("entry.stalls", counters.ProcessPauses)
 	m.Set("jobs.open", int64(e.core.OpenJobs()))
--- a/pool/node/peers.go
+++ b/pool/node/peers.go
@@ -113,6 +113,9 @@
 		if m.Evacuation != nil {
 			p.entry.post(entryEvent{event: scheduler.EvacuationLearned{State: *m.Evacuation, Source: c.Peer().Name}})
 		}
+		if len(m.Loads) > 0 && p.entry.settings.Sharing.Floor > 0 {
+			p.entry.post(entryEvent{event: scheduler.LoadsShared{Entry: c.Peer().Name, Loads: m.Loads}})
+		}
 	case *message.ForwardOrders:
 		p.forwardReceived(c, m)
 	case *message.CrashNotice:
@@ -231,7 +234,7 @@
 }
 
 func entryState(core *scheduler.Core) *message.EntryState {
-	return &message.EntryState{Waiting: core.WaitingJobs(), Evacuation: core.Evacuation()}
+	return &message.EntryState{Waiting: core.WaitingJobs(), Evacuation: core.Evacuation(), Loads: core.QueueLoads()}
 }
 
 // broadcast sends a message to all other entries. A connection that fails to send
--- a/pool/scheduler/core.go
+++ b/pool/scheduler/core.go
@@ -32,6 +32,9 @@
 	LoadSharingPeers int
 	// Zone is the entry's availability zone; peers of the same zone are preferred.
 	Zone string
+	// SharingFloor, if above 0, divides the capacity between priorities, queues and callers;
+	// each queue is guaranteed this part of its max-min fair share. See pool/fairness.
+	SharingFloor float64
 }
 
 const (
@@ -103,6 +106,8 @@
 	// started is the rate, in thousandths of a core, at which this entry starts
 	// work.
 	started decayingRate
+	// sharing is nil without Options.SharingFloor.
+	sharing *sharing
 
 	// crashes and suspects hold the crashes of the last minute and the jobs under them.
 	crashes  kernel.OrderedMap[crashID, *crashRecord]
@@ -151,6 +156,8 @@
 	Crashes, GivenUp int64
 	// EvacuatedStarts counts starts ordered in an evacuated zone: always 0.
 	EvacuatedStarts int64
+	// BeyondShare counts jobs that were refused beyond the share of their queue or caller.
+	BeyondShare int64
 }
 
 // New returns a core without jobs and agents.
@@ -169,6 +176,7 @@
 		completed:     map[string]time.Duration{},
 		fleet:         fleet{medianSlowness: 1},
 		started:       decayingRate{timeConstant: startRateTimeConstant},
+		sharing:       newSharing(opts.SharingFloor),
 	}
 }
 
@@ -229,6 +237,10 @@
 		c.jobsSurvivedElsewhere(ev.BlamedQueues)
 	case CrashesShared:
 		c.takeNotice(ev.Notice)
+	case LoadsShared:
+		if c.sharing != nil {
+			c.sharing.shares.SetRemote(c.now, ev.Entry, ev.Loads)
+		}
 	case AgentConnected:
 		c.connect(ev)
 	case AgentDisconnected:
@@ -270,6 +282,7 @@
 		c.checkJob(j)
 	}
 	c.compact()
+	c.noteLimitedQueues()
 	c.learnCrashAges()
 	c.forgetCrashes()
 	c.trackEvacuations()
--- a/pool/scheduler/event.go
+++ b/pool/scheduler/event.go
@@ -22,10 +22,15 @@
 	Queue   string
 	Service string
 	// Urgent jobs start before all others.
-	Urgent  bool
-	Payload string
-	Tasks   int
-	Need    message.Resources
+	Urgent bool
+	// Priority is the priority of the queue, lower ones first, and Caller identifies who
+	// submitted the job. They count only with Options.SharingFloor; Urgent stands for
+	// priority 0.
+	Priority int
+	Caller   string
+	Payload  string
+	Tasks    int
+	Need     message.Resources
 	// Estimate is the caller's rough estimate of a task's run time.
 	Estimate time.Duration
 	// Label is the label that an endpoint must have; empty if any endpoint will
@@ -75,6 +80,12 @@
 // CrashesShared is sent when another entry shares what it knows of crashes.
 type CrashesShared struct{ Notice *message.CrashNotice }
 
+// LoadsShared is sent when another entry shares the loads of its queues.
+type LoadsShared struct {
+	Entry string
+	Loads map[string]message.QueueLoad
+}
+
 // AgentConnected opens a session.
 type AgentConnected struct {
 	Session     Session
@@ -111,6 +122,7 @@
 func (CancelRequested) event()        {}
 func (JobsCompletedElsewhere) event() {}
 func (CrashesShared) event()          {}
+func (LoadsShared) event()            {}
 func (AgentConnected) event()         {}
 func (AgentDisconnected) event()      {}
 func (AgentReported) event()          {}
@@ -174,6 +186,8 @@
 	Blame   float64
 	// QueueBlamed is set if crashes are blamed on the job's queue.
 	QueueBlamed bool
+	// BeyondShare is set if the job was refused beyond the share of its queue or caller.
+	BeyondShare bool
 	// WaitingTasks is the number of waiting tasks of all jobs at that moment.
 	WaitingTasks int
 	// Host is the entry that the job was forwarded to, Origin the one that it came from.
--- a/pool/scheduler/forward.go
+++ b/pool/scheduler/forward.go
@@ -124,7 +124,7 @@
 		Tasks: len(j.tasks), Need: j.Need, EstimateMicros: j.Estimate.Microseconds(), Stretch: j.Stretch,
 		SlackMicros: j.Slack.Microseconds(), AgeMicros: (c.now - j.received).Microseconds(),
 		DeadlineMicros: (j.Deadline - overhead - c.now).Microseconds(), Spread: j.Spread, Attempts: j.Attempts,
-		FirstRun: j.FirstRun,
+		FirstRun: j.FirstRun, Priority: j.Priority, Caller: j.Caller,
 	})
 	c.noteForward(ForwardSent, j.Job, p.name, cause, 0)
 }
--- a/pool/scheduler/host.go
+++ b/pool/scheduler/host.go
@@ -71,6 +71,7 @@
 		Estimate: time.Duration(f.EstimateMicros) * time.Microsecond, Stretch: f.Stretch,
 		Slack: time.Duration(f.SlackMicros) * time.Microsecond, Spread: f.Spread, Attempts: f.Attempts,
 		Deadline: c.now + time.Duration(f.DeadlineMicros)*time.Microsecond, ConnectedAt: c.now, FirstRun: f.FirstRun,
+		Priority: f.Priority, Caller: f.Caller,
 	}
 	received := c.now - time.Duration(f.AgeMicros)*time.Microsecond - hopDelay/2
 	c.lastHosted++
--- a/pool/scheduler/job.go
+++ b/pool/scheduler/job.go
@@ -14,6 +14,7 @@
 	*Job
 	queue    *queue
 	received time.Duration
+	share    share
 	waiters  []Waiter
 	tasks    []task
 	// waiting and done count tasks; runs counts the runs ordered and not
@@ -96,6 +97,7 @@
 	j.tasks = make([]task, in.Tasks)
 	j.queue.urgent, j.queue.service = in.Urgent, in.Service
 	j.queue.offeredLoad.add(c.now, j.work(in.Tasks))
+	c.shareSubmitted(j)
 	j.reviewAt = c.now + firstReview
 	c.jobs[in.ID] = j
 	c.waiters[w] = j
@@ -145,6 +147,7 @@
 	if j.forward.away != nil {
 		c.recall(j)
 	}
+	beyondShare := c.shareEnded(j, outcome)
 	unplaced, unended := j.waiting, 0
 	for i := range j.tasks {
 		if r := j.tasks[i].run; r != nil {
@@ -165,7 +168,7 @@
 	ended := JobEnded{
 		Job: j.Job, Outcome: outcome, Cause: cause, Age: c.now - j.received, Objective: j.objective(),
 		Runs: j.runs, Failed: j.failed, Lost: j.lost,
-		Unplaced: unplaced, Unended: unended, WaitingTasks: c.waiting,
+		Unplaced: unplaced, Unended: unended, WaitingTasks: c.waiting, BeyondShare: beyondShare,
 		Origin: j.forward.origin,
 	}
 	if j.forward.away != nil {
@@ -204,7 +207,7 @@
 		answer.Verdict, answer.Reason = verdict.Ran, verdict.ReasonTaskFailed
 	case JobRefused:
 		answer.Reason = verdict.ReasonQueueFull
-		retryAfter := c.retryAfter()
+		retryAfter := c.retryAfter(j)
 		if j.isConfined() {
 			retryAfter = max(retryAfter, crashOutage)
 		}
--- a/settings/pool.go
+++ b/settings/pool.go
@@ -25,6 +25,17 @@
 	// free endpoints, and accepts such jobs from them. It has no effect in pools of up to
 	// five entries, where all entries have the same endpoints. Default false.
 	LoadSharing bool `yaml:"load_sharing,omitempty"`
+	// Sharing divides an entry's capacity between priorities, queues and callers.
+	Sharing Sharing `yaml:"sharing,omitempty"`
+}
+
+// Sharing is the setting by which entries share capacity. It should be the same at all
+// entries.
+type Sharing struct {
+	// Floor is the part of its max-min fair share that each queue is guaranteed, however much
+	// is offered with a lower priority number. 0, the default, orders queues by their load
+	// alone.
+	Floor float64 `yaml:"floor,omitempty" validate:"gte=0,lte=1"`
 }
 
 // PoolAgent is the settings of an agent of a pool.
