Pool: faults found in the reviews of evacuation and load sharing

Cause: a job cancelled at its host was taken back and run; an outdated forwarded copy counted as news of a caller; malformed jobs of another entry could end the process; hosted jobs could be forwarded again within submit; an entry that starts refused jobs because its first agent was in an evacuated zone; an evacuated endpoint stayed confined; cold periods did not begin anew in small steps; evacuated agents counted as alternatives. Change: each as the reviews propose.

--- a/pool/executor/confinement.go
+++ b/pool/executor/confinement.go
@@ -23,7 +23,7 @@
 func (c *Core) updateConfinement() {
 	k := &c.confinement
 	switch {
-	case k.milliCPU > 0, k.active && !c.ready():
+	case k.milliCPU > 0, k.active && !c.ready() && !c.evacuation.active:
 		k.active, k.usedAt = true, c.now
 	case c.now-k.usedAt > confinedHold:
 		k.active = false
--- a/pool/executor/endpoint.go
+++ b/pool/executor/endpoint.go
@@ -118,8 +118,10 @@
 		c.adopt(ev)
 	}
 	e.seq, e.capacityUnknown = ev.Seq, false
-	coldChanged := c.updateCold(ev.ColdLeft)
-	if !sameEndpoint(e, ev) || coldChanged {
+	if c.updateCold(ev.ColdLeft) {
+		c.endpointChanged()
+	}
+	if !sameEndpoint(e, ev) {
 		e.service, e.capacity, e.labels, e.zone, e.leaving = ev.Service, ev.Capacity, ev.Labels, ev.Zone, ev.Leaving
 		c.endpointChanged()
 		c.emit(Note{What: "endpoint changed", Subject: e.name, Detail: ev.Service})
--- a/pool/scheduler/admission.go
+++ b/pool/scheduler/admission.go
@@ -54,7 +54,7 @@
 	}
 	if c.anyEligible(j) {
 		j.queue.eligibleAt = c.now
-	} else if j.late || c.allEvacuated(j) || c.now-max(j.queue.eligibleAt, c.settlingSince) > settleTime {
+	} else if j.late || c.allEvacuated(j) && c.now-c.settlingSince > settleTime || c.now-max(j.queue.eligibleAt, c.settlingSince) > settleTime {
 		c.refuse(j, "no endpoint takes tasks")
 		return
 	}
--- a/pool/scheduler/evacuation_test.go
+++ b/pool/scheduler/evacuation_test.go
@@ -96,6 +96,10 @@
 func TestJobIsRefusedAtOnceWhenAllZonesAreEvacuated(t *testing.T) {
 	is := is.New(t)
 	sim := newZones(t, 2, 64000)
+	// In its first moments an entry does not know all agents yet.
+	for sim.now < sim.core.startedAt+settleTime+10*time.Millisecond {
+		sim.advance()
+	}
 	sim.evacuate(1, "even", "odd")
 	j := sim.submit(label)
 	for range 20 {
--- a/pool/scheduler/forward.go
+++ b/pool/scheduler/forward.go
@@ -117,6 +117,7 @@
 	f.count++
 	c.waiting -= j.waiting
 	j.waiting = 0
+	c.removeFromBacklog(j)
 	j.FirstRun += forwardRunNumbers
 	p.jobs.Set(f.request, j)
 	p.pending.Jobs = append(p.pending.Jobs, message.ForwardedJob{
@@ -137,7 +138,7 @@
 	}
 	p.jobs.Delete(a.Request)
 	f := &j.forward
-	if a.Answer.Failed && a.Answer.Verdict == verdict.NotRun {
+	if a.Answer.Failed && a.Answer.Verdict == verdict.NotRun && a.Answer.Reason != verdict.ReasonCancelled {
 		c.noteForward(ForwardRefused, j.Job, p.name, a.Answer.Detail, c.now-f.sentAt)
 		c.takeBack(j)
 		return
--- a/pool/scheduler/host.go
+++ b/pool/scheduler/host.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -9,6 +10,10 @@
 	"marjoramlug.example/marjoramlug/verdict"
 )
 
+// maxNeed bounds the resources of a task of another entry's job: far above those of any
+// endpoint, and low enough for sums over all tasks.
+var maxNeed = message.Resources{MilliCPU: 1 << 32, MemoryMB: 1 << 32, Accelerators: 1 << 32}
+
 const (
 	// hostedWaiter marks the waiters of jobs that came from another entry.
 	hostedWaiter Waiter = 1 << 63
@@ -80,7 +85,7 @@
 	o.jobs.Set(f.Request, w)
 	known := c.jobs[in.ID]
 	switch cause := c.whyNotHosted(o, in, received); {
-	case known != nil && known.forward.away != nil, known == nil && c.remainingRuns[in.ID] > 0:
+	case known != nil && (known.forward.away != nil || c.isStale(o)), known == nil && c.remainingRuns[in.ID] > 0:
 		// Neither "not run" would be true, nor may two entries wait for each other.
 		c.answer(w, message.Refusal(verdict.MayHaveRun, verdict.ReasonUnavailable, "an earlier submission may still run"))
 		return
@@ -89,17 +94,15 @@
 		return
 	}
 	c.noteForward(ForwardReceivedJob, in, o.name, "", 0)
-	c.submit(w, in)
-	if j := c.jobs[in.ID]; j != nil && known == nil {
-		j.forward.origin, j.received = o.name, received
-	}
+	c.submitFrom(w, in, o.name, received)
 }
 
 // whyNotHosted returns why this entry does not run a job for another one, or an empty text.
 func (c *Core) whyNotHosted(o *origin, in *Job, received time.Duration) string {
 	j := &job{Job: in, queue: c.queueOf(in.Queue), received: received, suspect: c.suspects.Get(in.ID)}
 	switch {
-	case in.Tasks < 1 || in.Estimate <= 0:
+	case in.Tasks < 1 || in.Tasks > c.opts.MaxWaiting, in.Estimate <= 0, math.IsNaN(in.Stretch) || in.Stretch < 0,
+		!in.Need.Fits(maxNeed) || !(message.Resources{}).Fits(in.Need):
 		return "invalid job"
 	case c.isStale(o):
 		return "the message is too old"
--- a/pool/scheduler/job.go
+++ b/pool/scheduler/job.go
@@ -80,7 +80,11 @@
 	return j.received + j.objective() - j.expectedRunTime() - overhead
 }
 
-func (c *Core) submit(w Waiter, in *Job) {
+func (c *Core) submit(w Waiter, in *Job) { c.submitFrom(w, in, "", c.now) }
+
+// submitFrom submits a job that the named entry has forwarded, or a caller's own if that is
+// empty, and that its first entry has received at the given time.
+func (c *Core) submitFrom(w Waiter, in *Job, origin string, received time.Duration) {
 	if _, done := c.completed[in.ID]; done {
 		c.answer(w, message.JobAnswer{Verdict: verdict.Ran})
 		c.counters.Jobs[JobRepeated]++
@@ -93,7 +97,8 @@
 		c.waiters[w] = j
 		return
 	}
-	j := &job{Job: in, queue: c.queueOf(in.Queue), received: c.now, waiters: []Waiter{w}, waiting: in.Tasks}
+	j := &job{Job: in, queue: c.queueOf(in.Queue), received: received, waiters: []Waiter{w}, waiting: in.Tasks}
+	j.forward.origin = origin
 	j.tasks = make([]task, in.Tasks)
 	j.queue.urgent, j.queue.service = in.Urgent, in.Service
 	j.queue.offeredLoad.add(c.now, j.work(in.Tasks))
--- a/pool/scheduler/run.go
+++ b/pool/scheduler/run.go
@@ -145,7 +145,7 @@
 // if none is, the task may run on all agents again.
 func (c *Core) avoid(t *task, a *agent) bool {
 	t.avoid = append(t.avoid, a)
-	if len(t.avoid) < len(c.agentList) {
+	if slices.ContainsFunc(c.agentList, func(o *agent) bool { return !o.evacuation.active && !slices.Contains(t.avoid, o) }) {
 		return true
 	}
 	t.avoid = nil
--- a/pool/scheduler/sharing.go
+++ b/pool/scheduler/sharing.go
@@ -106,11 +106,16 @@
 	if outcome == JobRefused {
 		s.shares.Refuse(c.now, j.work(j.waiting))
 	}
-	if j.share.countedAt == s.backlogAt {
+	c.removeFromBacklog(j)
+	return beyond
+}
+
+// removeFromBacklog removes a job that no longer waits here from the backlog of this step.
+func (c *Core) removeFromBacklog(j *job) {
+	if s := c.sharing; s != nil && j.share.countedAt == s.backlogAt {
 		j.queue.backlog.Remove(j.share.place, j.share.work)
 		j.share.countedAt = 0
 	}
-	return beyond
 }
 
 // noteLimitedQueues logs queues that become limited, and those that no longer are.
--- a/pool/scheduler/slow_start.go
+++ b/pool/scheduler/slow_start.go
@@ -29,6 +29,8 @@
 	// active is set from the time from to the time until.
 	active      bool
 	from, until time.Duration
+	// announced is the end that was known when the period began.
+	announced time.Duration
 	// measured is set once the end or the progress of a run has shown the speed.
 	measured bool
 	// warmLogSlowness is the endpoint's slowness from before.
@@ -40,12 +42,12 @@
 // update handles a description of the endpoint.
 func (s *slowStart) update(a *agent, e *message.PoolEndpoint, now time.Duration) {
 	left := time.Duration(e.ColdMillis) * time.Millisecond
-	if until := now + left; left > 0 && until > s.until+coldExtension {
+	if until := now + left; left > 0 && until > s.announced+coldExtension {
 		warm := a.logSlowness
 		if s.active {
 			warm = s.warmLogSlowness
 		}
-		*s = slowStart{active: true, from: now, until: until, warmLogSlowness: warm}
+		*s = slowStart{active: true, from: now, until: until, announced: until, warmLogSlowness: warm}
 		a.logSlowness = max(a.logSlowness, math.Log(coldSlowness))
 	} else if s.active {
 		s.until = until
