--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"marjoramlug.example/marjoramlug/kernel"
 	"marjoramlug.example/marjoramlug/message"
 	"marjoramlug.example/marjoramlug/pool/executor"
 	"marjoramlug.example/marjoramlug/pool/node"
@@ -50,10 +51,14 @@
 	agents           []*agentNode
 	links            map[uint64]*link
 	sessions         uint64
-	jobs             map[string]*job
-	waiters          map[scheduler.Waiter]*job
-	lastWaiter       scheduler.Waiter
-	open             int
+	peerLinks        kernel.OrderedMap[scheduler.PeerSession, *peerLink]
+	// zones lists the entries' zones, moves the present moves of callers.
+	zones      []string
+	moves      []Fault
+	jobs       map[string]*job
+	waiters    map[scheduler.Waiter]*job
+	lastWaiter scheduler.Waiter
+	open       int
 	// aliveRuns counts the runs of each task that are alive.
 	aliveRuns map[taskKey]int
 	// rateFactor multiplies the rates of the classes during bursts.
@@ -63,13 +68,17 @@
 	// perfect replaces entries and agents in runs with perfect knowledge.
 	perfect *perfectQueue
 	result  *Result
+	// sharingFloor is the setting of entries.
+	sharingFloor float64
 }
 
 // job is a caller's job.
 type job struct {
 	id    string
 	class int
-	need  message.Resources
+	// caller numbers the callers of the class.
+	caller int
+	need   message.Resources
 	// works holds the run time of each task on an endpoint of slowness 1.
 	works     []time.Duration
 	estimate  time.Duration
@@ -96,6 +105,16 @@
 	return s.result
 }
 
+// RunSharing plays an experiment with one seed, with entries that share capacity as
+// Experiment.SharingFloor says.
+func RunSharing(ctx context.Context, x *Experiment, seed int64) *Result {
+	s := newSimulation(x, seed)
+	s.sharingFloor = x.SharingFloor
+	s.buildFleet()
+	s.play(ctx)
+	return s.result
+}
+
 func newSimulation(x *Experiment, seed int64) *simulation {
 	s := &simulation{
 		experiment: x, timing: timing(),
@@ -131,7 +150,10 @@
 	var addresses []string
 	for _, g := range s.experiment.Fleet.Entries {
 		for range g.Count {
-			n := &entryNode{sim: s, name: fmt.Sprintf("entry-%d", len(s.entries)), cores: g.Cores, weight: g.Weight}
+			n := &entryNode{sim: s, name: fmt.Sprintf("entry-%d", len(s.entries)), zone: g.Zone, cores: g.Cores, weight: g.Weight}
+			if !slices.Contains(s.zones, g.Zone) {
+				s.zones = append(s.zones, g.Zone)
+			}
 			n.boot()
 			s.entries = append(s.entries, n)
 			addresses = append(addresses, n.name)
@@ -141,6 +163,7 @@
 	for _, n := range s.entries {
 		byName[n.name] = n
 		s.clock.every(node.EntryTick, func() { n.deliver(scheduler.Tick{}) })
+		s.clock.every(node.StateInterval, n.shareLoads)
 	}
 	for _, g := range s.experiment.Fleet.Agents {
 		for range g.Count {
@@ -205,12 +228,26 @@
 	j.objective = time.Duration(c.Stretch*float64(longest)) + c.Slack
 	j.deadline = j.sent + minDeadline + deadlineObjectives*j.objective
 	j.deadly = s.deadlyShare[class] > 0 && s.arrivals.Float64() < s.deadlyShare[class]
+	j.caller = s.drawCaller(c)
 	s.jobs[j.id] = j
 	s.open++
 	s.result.submitted(j)
 	return j
 }
 
+// drawCaller draws who submits a job of a class.
+func (s *simulation) drawCaller(c *Class) int {
+	switch {
+	case c.Callers < 2:
+		return 0
+	case c.HotShare == 0:
+		return s.arrivals.IntN(c.Callers)
+	case s.arrivals.Float64() < c.HotShare:
+		return 0
+	}
+	return 1 + s.arrivals.IntN(c.Callers-1)
+}
+
 // submit sends a job to a live entry, drawn by weight. Without one it is sent again
 // later.
 func (s *simulation) submit(j *job) {
@@ -233,6 +270,7 @@
 	s.waiters[j.waiter] = j
 	j.entry.deliver(scheduler.JobSubmitted{Waiter: j.waiter, Job: &scheduler.Job{
 		ID: j.id, Queue: c.Name, Service: service, Urgent: c.Urgent, Tasks: len(j.works), Need: j.need,
+		Priority: c.Priority, Caller: fmt.Sprintf("caller-%d", j.caller),
 		Estimate: j.estimate, Stretch: c.Stretch, Slack: c.Slack, Attempts: 3,
 		Deadline: j.deadline, ConnectedAt: s.clock.now, FirstRun: s.clock.now.Milliseconds() * runNumbersPerMilli,
 	}})
@@ -250,7 +288,7 @@
 	total := 0.0
 	for _, n := range s.entries {
 		if n.alive {
-			total += n.weight
+			total += s.weightNow(n)
 		}
 	}
 	at := s.random.Float64() * total
@@ -260,7 +298,7 @@
 			continue
 		}
 		drawn = n
-		if at -= n.weight; at < 0 {
+		if at -= s.weightNow(n); at < 0 {
 			break
 		}
 	}
@@ -275,6 +313,9 @@
 	}
 	switch {
 	case a.Answer.Verdict == verdict.NotRun:
+		if s.refusedWhileFree(j) {
+			s.result.RefusedWhileFree++
+		}
 		s.finish(j, outcomeRefused)
 	case a.Answer.Failed:
 		if a.Answer.Reason == verdict.ReasonTaskFailed && !j.deadly {
--- a/message/run.go
+++ b/message/run.go
@@ -246,4 +246,15 @@
 	Waiting map[string]int `cbor:"1,keyasint,omitempty"`
 	// Evacuation is the newest state that the entry knows.
 	Evacuation *EvacuationState `cbor:"2,keyasint,omitempty"`
+	// Loads holds the load, by queue, of an entry that shares capacity; see pool/fairness.
+	Loads map[string]QueueLoad `cbor:"3,keyasint,omitempty"`
+}
+
+// QueueLoad is the load of a queue at an entry, in thousandths of a core.
+type QueueLoad struct {
+	// Offered is the load that callers submit, Served the load that is started.
+	Offered float64 `cbor:"1,keyasint,omitempty"`
+	Served  float64 `cbor:"2,keyasint,omitempty"`
+	// Priority is the queue's priority, lower ones first.
+	Priority int `cbor:"3,keyasint,omitempty"`
 }
--- a/pool/scheduler/core.go
+++ b/pool/scheduler/core.go
@@ -27,6 +27,14 @@
 	// MaxWaiting limits the number of waiting tasks; jobs beyond it are
 	// refused.
 	MaxWaiting int
+	// LoadSharingPeers is the number of connected peers from which on jobs are forwarded to
+	// them; 0 means that no job is forwarded or accepted from another entry.
+	LoadSharingPeers int
+	// Zone is the entry's availability zone; peers of the same zone are preferred.
+	Zone string
+	// SharingFloor, if above 0, divides the capacity between priorities, queues and callers;
+	// each queue is guaranteed this part of its max-min fair share. See pool/fairness.
+	SharingFloor float64
 }
 
 const (
@@ -70,7 +78,9 @@
 	// startedAt is the time of the first step.
 	startedAt  time.Duration
 	lastExpiry time.Duration
-	actions    []Action
+	// heldUpAt is the time of the last step that came late.
+	heldUpAt time.Duration
+	actions  []Action
 
 	jobs     map[string]*job
 	jobOrder []*job
@@ -96,6 +106,8 @@
 	// started is the rate, in thousandths of a core, at which this entry starts
 	// work.
 	started decayingRate
+	// sharing is nil without Options.SharingFloor.
+	sharing *sharing
 
 	// crashes and suspects hold the crashes of the last minute and the jobs under them.
 	crashes  kernel.OrderedMap[crashID, *crashRecord]
@@ -110,6 +122,15 @@
 	confinements kernel.OrderedMap[string, *confinement]
 
 	evacuation evacuationState
+	// peers and origins are the connections to other entries, see forward.go and host.go.
+	peers      map[PeerSession]*peer
+	peerList   []*peer
+	origins    map[PeerSession]*origin
+	originList []*origin
+	// hosted holds the waiters of jobs of other entries.
+	hosted      map[Waiter]*hostedJob
+	lastHosted  Waiter
+	lastRequest uint64
 
 	completed      map[string]time.Duration
 	completedOrder []string
@@ -135,6 +156,8 @@
 	Crashes, GivenUp int64
 	// EvacuatedStarts counts starts ordered in an evacuated zone: always 0.
 	EvacuatedStarts int64
+	// BeyondShare counts jobs that were refused beyond the share of their queue or caller.
+	BeyondShare int64
 }
 
 // New returns a core without jobs and agents.
@@ -147,9 +170,13 @@
 		remainingRuns: map[string]int{},
 		agents:        map[string]*agent{},
 		sessions:      map[Session]*agent{},
+		peers:         map[PeerSession]*peer{},
+		origins:       map[PeerSession]*origin{},
+		hosted:        map[Waiter]*hostedJob{},
 		completed:     map[string]time.Duration{},
 		fleet:         fleet{medianSlowness: 1},
 		started:       decayingRate{timeConstant: startRateTimeConstant},
+		sharing:       newSharing(opts.SharingFloor),
 	}
 }
 
@@ -174,6 +201,9 @@
 	if c.now > 0 && pause > shortPause && pause <= c.opts.HeartbeatTimeout {
 		c.excuseSilence(pause)
 	}
+	if pause > heldUpGap {
+		c.heldUpAt = now
+	}
 	c.now = max(c.now, now)
 	c.handleOutage()
 	for _, ev := range events {
@@ -184,6 +214,8 @@
 	c.place()
 	c.refuseUnplaceable()
 	c.flush()
+	c.flushPeers()
+	c.flushOrigins()
 	return c.actions
 }
 
@@ -205,6 +237,10 @@
 		c.jobsSurvivedElsewhere(ev.BlamedQueues)
 	case CrashesShared:
 		c.takeNotice(ev.Notice)
+	case LoadsShared:
+		if c.sharing != nil {
+			c.sharing.shares.SetRemote(c.now, ev.Entry, ev.Loads)
+		}
 	case AgentConnected:
 		c.connect(ev)
 	case AgentDisconnected:
@@ -213,6 +249,16 @@
 		c.handleReport(ev.Session, ev.Report)
 	case EvacuationLearned:
 		c.learnEvacuation(ev.State, ev.Source)
+	case PeerConnected:
+		c.connectPeer(ev)
+	case PeerDisconnected:
+		c.disconnectPeer(ev.Peer)
+	case PeerReported:
+		c.handlePeerReport(ev.Peer, ev.Report)
+	case ForwardReceived:
+		c.handleForward(ev)
+	case OriginDisconnected:
+		c.disconnectOrigin(ev.Origin)
 	case StopRequested:
 		c.stopping = true
 		c.interrupt("this entry stops")
@@ -227,6 +273,8 @@
 	}
 	c.lastExpiry = c.now
 	c.checkAgents()
+	c.checkPeers()
+	c.checkOrigins()
 	for _, j := range c.jobOrder {
 		if j.answered {
 			continue
@@ -234,6 +282,7 @@
 		c.checkJob(j)
 	}
 	c.compact()
+	c.noteLimitedQueues()
 	c.learnCrashAges()
 	c.forgetCrashes()
 	c.trackEvacuations()
@@ -273,7 +322,7 @@
 func (c *Core) WaitingJobs() map[string]int {
 	counts := map[string]int{}
 	for _, j := range c.jobOrder {
-		if !j.answered && j.runs == 0 {
+		if !j.answered && j.runs == 0 && j.forward.away == nil {
 			counts[j.Queue]++
 		}
 	}
@@ -284,10 +333,10 @@
 func (c *Core) OpenJobs() int { return len(c.jobs) }
 
 // Status reports whether a job is open and whether one of its tasks has
-// started.
+// started, or may have at the entry that it was forwarded to.
 func (c *Core) Status(id string) (known, started bool) {
 	j := c.jobs[id]
-	return j != nil, j != nil && j.runs > 0
+	return j != nil, j != nil && (j.runs > 0 || j.forward.away != nil)
 }
 
 // Completed reports whether a job is remembered as completed.
--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -40,7 +40,9 @@
 	waiters   uint64
 	jobs      int
 	violation string
-	traced    bool
+	// peers is set if entries forward jobs.
+	peers  *peerModel
+	traced bool
 	// lateAcrossIncarnations lets a late order reach a later incarnation of its
 	// endpoint.
 	lateAcrossIncarnations bool
@@ -123,9 +125,13 @@
 	e := sim.entries[i]
 	sim.sessions++
 	e.incarnation, e.inbox, e.transmissions, e.frozenUntil = sim.sessions, nil, nil, 0
-	e.core = scheduler.New(scheduler.Options{
+	opts := scheduler.Options{
 		HeartbeatTimeout: heartbeatTimeout, Lease: lease, StopTime: stopTime, ResubmitDelay: resubmitDelay, MaxWaiting: 1000,
-	})
+	}
+	if sim.peers != nil {
+		opts.LoadSharingPeers = 1
+	}
+	e.core = scheduler.New(opts)
 	e.core.Step(max(sim.now, tick), scheduler.Tick{})
 }
 
@@ -148,6 +154,7 @@
 	}
 	sim.connect()
 	sim.deliver()
+	sim.advancePeers()
 	sim.deliverTransmissions()
 	sim.followEvacuations()
 	for i, a := range sim.agents {
@@ -268,6 +275,8 @@
 		sim.handleAnswer(action)
 	case scheduler.ShareEvacuation:
 		sim.shareEvacuation(i)
+	case scheduler.SendForwardOrders, scheduler.SendForwardReport, scheduler.ForwardNote:
+		sim.executeForwardAction(i, action)
 	case scheduler.ShareCrashes:
 		for other := range sim.entries {
 			if other != i {
@@ -298,6 +307,9 @@
 	for e := range sim.entries {
 		for a := range sim.agents {
 			key := [2]int{e, a}
+			if !sim.sees(e, a) {
+				continue
+			}
 			l := sim.links.Get(key)
 			if l == nil {
 				l = &link{}
