Crowds: hostile clients on separate processes with low budgets

Cause: nothing shows whether a process stays within its machine, and still serves, when clients send large bodies, stop short of their end or only open connections.

--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -19,7 +19,7 @@
 // layers lists the top-level folders from the highest to the lowest layer. A
 // package may import only packages of lower layers or of its own folder.
 var layers = []string{
-	"e2e", "soak", "cmd", "command", "load", "embedded", "emulator", "standin", "platform", "pool", "entry", "agent", "api", "replica", "plugin",
+	"e2e", "soak", "crowd", "cmd", "command", "load", "embedded", "emulator", "standin", "platform", "pool", "entry", "agent", "api", "replica", "plugin",
 	"dispatch", "ownership", "membership", "config", "sharedlog", "transport", "telemetry",
 	"message", "settings", "validation", "verdict", "kernel",
 }
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -5,12 +5,10 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -18,6 +16,7 @@
 	"testing"
 	"time"
 
+	"marjoramlug.example/marjoramlug/internal/proctest"
 	"marjoramlug.example/marjoramlug/standin/runner"
 	"marjoramlug.example/marjoramlug/standin/store"
 )
@@ -42,21 +41,7 @@
 
 var binary string
 
-func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "marjoramlug-soak")
-	if err != nil {
-		panic(err)
-	}
-	binary = filepath.Join(dir, "marjoramlug")
-	build := exec.Command("go", "build", "-o", binary, "../cmd/marjoramlug")
-	build.Stderr = os.Stderr
-	if err := build.Run(); err != nil {
-		panic(err)
-	}
-	code := m.Run()
-	_ = os.RemoveAll(dir)
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { proctest.RunWithBinary(m, func(path string) { binary = path }) }
 
 // entry is an entry process with the proxies for connections from other processes
 // (peerProxy) and from callers (callers).
@@ -163,14 +148,14 @@
 
 func (c *cluster) addEntry(i int) {
 	e := &entry{process: process{name: fmt.Sprintf("entry-%d", i), role: "entry", dir: c.dir}}
-	listenAddress, callers := freeUDP(c.t), freeTCP(c.t)
+	listenAddress, callers := proctest.FreeUDP(c.t), proctest.FreeTCP(c.t)
 	var err error
 	e.peerProxy, err = newUDPProxy(listenAddress)
 	c.must(err)
 	e.callers, err = newTCPProxy(callers)
 	c.must(err)
 	c.write(e.name, fmt.Sprintf("pool_entry:\n  name: %s\n  listen: %s\n  advertise: %s\n  http: %s\n  readiness: %s\n  metrics: %s%s",
-		e.name, listenAddress, e.peerProxy.address(), callers, freeTCP(c.t), freeTCP(c.t), c.commonSettings()))
+		e.name, listenAddress, e.peerProxy.address(), callers, proctest.FreeTCP(c.t), proctest.FreeTCP(c.t), c.commonSettings()))
 	c.must(e.start(c.record))
 	// Also ends the process when setting up the cluster fails.
 	c.t.Cleanup(e.end)
@@ -178,15 +163,15 @@
 }
 
 func (c *cluster) addAgent(i int) {
-	a := &agent{process: process{name: fmt.Sprintf("agent-%d", i), role: "agent", dir: c.dir}, address: freeTCP(c.t), capacity: slots * taskCPU}
-	heartbeats := freeTCP(c.t)
+	a := &agent{process: process{name: fmt.Sprintf("agent-%d", i), role: "agent", dir: c.dir}, address: proctest.FreeTCP(c.t), capacity: slots * taskCPU}
+	heartbeats := proctest.FreeTCP(c.t)
 	var err error
 	a.callProxy, err = newTCPProxy(a.address)
 	c.must(err)
 	a.heartbeats, err = newTCPProxy(heartbeats)
 	c.must(err)
 	c.write(a.name, fmt.Sprintf("pool_agent:\n  name: %s\n  http: %s\n  endpoint: %s\n  metrics: %s%s",
-		a.name, heartbeats, a.callProxy.address(), freeTCP(c.t), c.commonSettings()))
+		a.name, heartbeats, a.callProxy.address(), proctest.FreeTCP(c.t), c.commonSettings()))
 	c.must(a.start(c.record))
 	c.t.Cleanup(a.end)
 	c.startEndpoint(a)
@@ -354,39 +339,3 @@
 }
 
 func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
-
-// lastUsedPort is the last port that was tried for a process. Ports are taken
-// below the range that the system uses for outgoing connections, so that no such
-// connection takes a process's port while the process is down.
-var lastUsedPort = func() *atomic.Int32 {
-	p := new(atomic.Int32)
-	p.Store(10000 + rand.Int32N(10000))
-	return p
-}()
-
-// portLimit is the exclusive upper end of the ports for processes.
-const portLimit = 32000
-
-// freeAddress returns a loopback address with the next port that is not in use.
-func freeAddress(t *testing.T, bind func(address string) (io.Closer, error)) string {
-	t.Helper()
-	for port := lastUsedPort.Add(1); port < portLimit; port = lastUsedPort.Add(1) {
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		if l, err := bind(address); err == nil {
-			_ = l.Close()
-			return address
-		}
-	}
-	t.Fatal("no free port")
-	return ""
-}
-
-func freeTCP(t *testing.T) string {
-	t.Helper()
-	return freeAddress(t, func(address string) (io.Closer, error) { return net.Listen("tcp", address) })
-}
-
-func freeUDP(t *testing.T) string {
-	t.Helper()
-	return freeAddress(t, func(address string) (io.Closer, error) { return net.ListenPacket("udp", address) })
-}
