Crowds: heartbeats that are read whole change no endpoint

Change: they carry an unknown state, so that they are read and decoded as before and then refused. Sizes, numbers and checks are unchanged.

--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -129,7 +129,8 @@
 	return header(http.MethodPost, jobPath(int(rand.Int64())), fields...)
 }
 
-const heartbeatBody = `{"service":"s","state":"ready","seq":1,"clock_ms":1,"born":1,"free_capacity":{"cpu":0,"mem_mb":0,"gpu":0}`
+// heartbeatBody has an unknown state, so that a heartbeat that is read whole changes no endpoint.
+const heartbeatBody = `{"service":"s","state":"other","seq":1,"clock_ms":1,"born":1,"free_capacity":{"cpu":0,"mem_mb":0,"gpu":0}`
 
 func heartbeatHeader(fields ...string) string {
 	return header(http.MethodPut, "/instances/other", fields...)
