Intake: limits for requests, connections and values of untrusted clients

Cause: nothing bounds what a client can make a process hold: 0.36 MB for each stalled body, several MB in the kernel's buffers, a connection for as long as it likes. Change: package intake with a memory budget that evicts the oldest incomplete request, a listener that closes the connection that waits for the longest time, small socket buffers, and a JSON decoder whose memory does not grow with the body. Section intake and peers in the settings of pools, with defaults from budget.memory_mb. Nothing uses it yet.

--- /dev/null
+++ b/intake/budget_test.go
@@ -0,0 +1,42 @@
+package intake
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestOldestIncompleteRequestMakesRoom guards against a budget that stalled requests hold, so
+// that no other client is served.
+func TestOldestIncompleteRequestMakesRoom(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(100)
+	var evicted []string
+	begin := func(name string, bytes int64) (*Request, error) {
+		return b.Begin(bytes, func() { evicted = append(evicted, name) })
+	}
+	complete, err := begin("complete", 40)
+	is.NoErr(err)
+	complete.Complete()
+	oldest, err := begin("oldest", 30)
+	is.NoErr(err)
+	younger, err := begin("younger", 30)
+	is.NoErr(err)
+
+	_, err = begin("new", 10)
+	is.NoErr(err)
+	is.Equal(evicted, []string{"oldest"}) // neither the complete nor the younger one
+	is.Equal(b.Used(), int64(80))
+	is.True(errors.Is(oldest.Reserve(1), ErrEvicted))
+	is.True(oldest.Release())
+	is.Equal(b.Used(), int64(80)) // its share was returned once
+
+	is.True(errors.Is(younger.Reserve(30), ErrEvicted)) // itself the oldest: not helped by evicting the new one
+	is.Equal(evicted, []string{"oldest"})
+	is.Equal(b.Used(), int64(50))
+	_, err = begin("too large", 70)
+	is.True(errors.Is(err, ErrExhausted))
+	complete.Release()
+	is.Equal(b.Used(), int64(0)) // the last one had evicted "new" before it gave up
+}
--- /dev/null
+++ b/intake/gate.go
@@ -0,0 +1,162 @@
+package intake
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"marjoramlug.example/marjoramlug/telemetry"
+)
+
+const (
+	// baseBytes is what a request that is being read takes besides its body: buffers,
+	// header and stack.
+	baseBytes = 8 << 10
+	// lingerTime is how long the rest of a refused request is read, so that the client
+	// gets the refusal before its connection is reset because of unread bytes.
+	lingerTime = 500 * time.Millisecond
+	// smallBytes is the announced size up to which a body is read whole: most requests
+	// are smaller and decode faster so.
+	smallBytes = 8 << 10
+)
+
+// Gate admits the requests of a process. It is safe for concurrent use.
+type Gate struct {
+	budget  *Budget
+	timeout time.Duration
+	metrics *telemetry.Registry
+}
+
+// NewGate returns a gate with a budget in bytes and the time within which a request has to
+// be received.
+func NewGate(budget int64, timeout time.Duration, metrics *telemetry.Registry) *Gate {
+	return &Gate{budget: NewBudget(budget), timeout: timeout, metrics: metrics}
+}
+
+// Handler limits the time for a request's body, whether or not next reads it, and tells the
+// request's connection when the request is in progress.
+func (g *Gate) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn := connectionOf(r)
+		if r.ContentLength == 0 {
+			conn.work()
+			next.ServeHTTP(w, r)
+			return
+		}
+		setReadDeadline(w, time.Now().Add(g.timeout))
+		next.ServeHTTP(w, r)
+		// A rest of the body may be left, which the server reads before the next request.
+		conn.wait()
+	})
+}
+
+// setReadDeadline sets the deadline for reading from a request's connection.
+func setReadDeadline(w http.ResponseWriter, t time.Time) {
+	// Recorders of tests have no deadline; a connection that has failed needs none.
+	_ = http.NewResponseController(w).SetReadDeadline(t)
+}
+
+// Body is the body of a request that is being read. It must be closed.
+type Body struct {
+	gate    *Gate
+	w       http.ResponseWriter
+	r       *http.Request
+	src     io.Reader
+	request *Request
+	// err is the first error of reading, other than the end.
+	err error
+}
+
+// Open admits a request and returns its body of at most limit bytes. A body that is
+// announced to be larger is refused without reading it.
+func (g *Gate) Open(w http.ResponseWriter, r *http.Request, limit int64) (*Body, error) {
+	b := &Body{gate: g, w: w, r: r, src: http.MaxBytesReader(w, r.Body, limit)}
+	if r.ContentLength > limit {
+		return nil, b.refuse(ErrTooLarge)
+	}
+	size := int64(baseBytes)
+	if b.isSmall() {
+		size += r.ContentLength
+	}
+	request, err := g.budget.Begin(size, func() { setReadDeadline(w, time.Unix(1, 0)) })
+	if err != nil {
+		return nil, b.refuse(err)
+	}
+	b.request = request
+	g.publish()
+	return b, nil
+}
+
+func (b *Body) isSmall() bool { return b.r.ContentLength >= 0 && b.r.ContentLength <= smallBytes }
+
+// Read implements io.Reader.
+func (b *Body) Read(p []byte) (int, error) {
+	n, err := b.src.Read(p)
+	if err != nil && err != io.EOF && b.err == nil {
+		b.err = b.errorOf(err)
+	}
+	return n, err
+}
+
+// errorOf translates an error of the connection.
+func (b *Body) errorOf(err error) error {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return ErrTooLarge
+	case b.request.Evicted():
+		return ErrEvicted
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return ErrTimeout
+	}
+	return err
+}
+
+// Close ends the reading, after err if it is set, and returns the error that explains it:
+// one of this package's if a limit was reached. The server closes the connection of a
+// request that was not received whole.
+func (b *Body) Close(err error) error {
+	b.request.Release()
+	b.gate.publish()
+	if b.err != nil {
+		err = b.err
+	}
+	if err != nil {
+		return b.refuse(err)
+	}
+	setReadDeadline(b.w, time.Time{})
+	connectionOf(b.r).work()
+	return nil
+}
+
+func (b *Body) refuse(err error) error {
+	setReadDeadline(b.w, time.Now().Add(lingerTime))
+	b.w.Header().Set("Connection", "close")
+	if reason := Reason(err); reason != "" {
+		b.gate.metrics.Add("intake.refused."+reason, 1)
+		if reason == "evicted" {
+			b.gate.metrics.Add("intake.evicted", 1)
+		}
+	}
+	return err
+}
+
+func (g *Gate) publish() { g.metrics.Set("intake.bytes", g.budget.Used()) }
+
+// Reason returns the name of the limit that an error of this package stands for, and an
+// empty string for other errors.
+func Reason(err error) string {
+	switch {
+	case errors.Is(err, ErrTooLarge):
+		return "too-large"
+	case errors.Is(err, ErrEvicted):
+		return "evicted"
+	case errors.Is(err, ErrExhausted):
+		return "exhausted"
+	case errors.Is(err, ErrTimeout):
+		return "timeout"
+	}
+	return ""
+}
--- /dev/null
+++ b/intake/gate_test.go
@@ -0,0 +1,177 @@
+package intake
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"marjoramlug.example/marjoramlug/telemetry"
+)
+
+// server is a server behind a gate whose handler decodes a field, and for the path /wait
+// then waits until release is closed.
+type server struct {
+	address        string
+	gate           *Gate
+	metrics        *telemetry.Registry
+	read, release  chan struct{}
+	closed, denied chan net.Addr
+}
+
+func newServer(t *testing.T, budget int64, timeout time.Duration, connections int) *server {
+	s := &server{
+		metrics: telemetry.New(), read: make(chan struct{}, 8), release: make(chan struct{}),
+		closed: make(chan net.Addr, 8), denied: make(chan net.Addr, 8),
+	}
+	s.gate = NewGate(budget, timeout, s.metrics)
+	listener, err := Listen("127.0.0.1:0", connections, func(remote net.Addr, refused bool) {
+		if refused {
+			s.denied <- remote
+			return
+		}
+		s.closed <- remote
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.address = listener.Addr().String()
+	server := &http.Server{Handler: s.gate.Handler(http.HandlerFunc(s.serve))}
+	listener.Track(server)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return s
+}
+
+func (s *server) serve(w http.ResponseWriter, r *http.Request) {
+	var v struct{ Text string }
+	body, err := s.gate.Open(w, r, 100_000)
+	if err == nil {
+		err = body.Close(body.DecodeJSON(&v, Fields{"text": &v.Text}))
+	}
+	if err != nil {
+		http.Error(w, Reason(err), http.StatusServiceUnavailable)
+		return
+	}
+	if r.URL.Path == "/wait" {
+		s.read <- struct{}{}
+		<-s.release
+	}
+}
+
+// send opens a connection and sends text.
+func (s *server) send(t *testing.T, text string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", s.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	if _, err := io.WriteString(conn, text); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+func post(path string, length int, body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", path, length, body)
+}
+
+// answer reads an answer and whether the connection is closed after it.
+func answer(conn net.Conn) (status int, text string, closes bool, err error) {
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, "", false, err
+	}
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, strings.TrimSpace(string(body)), resp.Close, err
+}
+
+// TestIncompleteRequestsAreRefused guards against requests that hold their share for as long
+// as their client likes, and against refusals that wait for the rest of the body.
+func TestIncompleteRequestsAreRefused(t *testing.T) {
+	const complete = `{"text":"a"}`
+	for reason, c := range map[string]struct {
+		timeout time.Duration
+		request string
+	}{
+		"timeout":   {time.Millisecond, post("/", 20, complete)},
+		"too-large": {time.Hour, post("/", 100_001, "")},
+		"evicted":   {time.Hour, post("/", 20_000, complete)},
+	} {
+		t.Run(reason, func(t *testing.T) {
+			is := is.New(t)
+			s := newServer(t, 3*baseBytes/2, c.timeout, 0)
+			conn := s.send(t, c.request)
+			if reason == "evicted" {
+				for s.gate.budget.Used() == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				status, _, _, err := answer(s.send(t, post("/", len(complete), complete)))
+				is.NoErr(err)
+				is.Equal(status, http.StatusOK)
+			}
+			status, text, closes, err := answer(conn)
+			is.NoErr(err)
+			is.Equal(status, http.StatusServiceUnavailable)
+			is.Equal(text, reason)
+			is.True(closes)
+			is.Equal(s.metrics.Counters()["intake.refused."+reason], int64(1))
+			is.Equal(s.gate.budget.Used(), int64(0))
+		})
+	}
+}
+
+// TestTimeoutEndsWithTheBody guards against a limit for bodies that ends the wait for an
+// answer, and against one that a connection keeps for its next request.
+func TestTimeoutEndsWithTheBody(t *testing.T) {
+	is := is.New(t)
+	const timeout = 50 * time.Millisecond
+	s := newServer(t, 1<<20, timeout, 0)
+	conn := s.send(t, post("/wait", 12, `{"text":"a"}`))
+	<-s.read
+	time.Sleep(2 * timeout)
+	close(s.release)
+	status, _, closes, err := answer(conn)
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	is.True(!closes)
+}
+
+// TestConnectionLimitClosesTheLongestWaiting guards against a limit that makes new
+// connections wait behind idle ones, and against one that closes a connection whose request
+// is in progress.
+func TestConnectionLimitClosesTheLongestWaiting(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, 1<<20, time.Hour, 3)
+	busy := s.send(t, post("/wait", 12, `{"text":"a"}`))
+	<-s.read
+	part := s.send(t, post("/", 20, "{"))
+	for s.gate.budget.Used() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	idle := s.send(t, post("/", 12, `{"text":"a"}`))
+	status, _, _, err := answer(idle)
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+
+	for _, oldest := range []net.Conn{part, idle} {
+		s.send(t, post("/wait", 12, `{"text":"a"}`))
+		is.Equal((<-s.closed).String(), oldest.LocalAddr().String())
+		<-s.read
+		_, err := oldest.Read(make([]byte, 1))
+		is.True(err != nil) // closed
+	}
+	refused := s.send(t, "")
+	is.Equal((<-s.denied).String(), refused.LocalAddr().String()) // all others have a request in progress
+	close(s.release)
+	status, _, _, err = answer(busy)
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+}
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -20,7 +20,7 @@
 // package may import only packages of lower layers or of its own folder.
 var layers = []string{
 	"e2e", "soak", "crowd", "cmd", "command", "load", "embedded", "emulator", "standin", "platform", "pool", "entry", "agent", "api", "replica", "plugin",
-	"dispatch", "ownership", "membership", "config", "sharedlog", "transport", "telemetry",
+	"dispatch", "ownership", "membership", "config", "sharedlog", "transport", "intake", "telemetry",
 	"message", "settings", "validation", "verdict", "kernel",
 }
 
--- a/settings/pool.go
+++ b/settings/pool.go
@@ -18,6 +18,11 @@
 	Store   Store  `yaml:"store"`
 	Timing  Timing `yaml:"timing"`
 	Budget  Budget `yaml:"budget"`
+	Intake  Intake `yaml:"intake,omitempty"`
+	// Peers bounds the connections from agents and other entries. Default 64 and one for
+	// each megabyte of budget.memory_mb, more than twice the agents and entries of the
+	// largest fleet in use, as a restarted peer's former connection stays open for 3 s.
+	Peers int `yaml:"peers,omitempty" validate:"gte=0"`
 	// MaxWaiting bounds the queued tasks. Default 5000: ten seconds of work of
 	// the largest entry in use.
 	MaxWaiting int `yaml:"max_waiting,omitempty" validate:"gte=0"`
@@ -34,6 +39,7 @@
 	Store    Store  `yaml:"store"`
 	Timing   Timing `yaml:"timing"`
 	Budget   Budget `yaml:"budget"`
+	Intake   Intake `yaml:"intake,omitempty"`
 	// Fanout is the number of entries that the agent connects to when there are
 	// more than five; otherwise it connects to all. Default 3: the agent still
 	// gets tasks when any two of these entries fail at once. More connections
@@ -72,17 +78,56 @@
 	Descriptors int `yaml:"descriptors,omitempty" validate:"gte=0"`
 }
 
+// Intake bounds what clients can make a process hold.
+type Intake struct {
+	// MemoryMB is the memory in megabytes for requests that are being read, and on an entry
+	// half as much again for messages that are being received. Default an eighth of
+	// budget.memory_mb, at least 1.
+	MemoryMB int `yaml:"memory_mb,omitempty" validate:"gte=0"`
+	// Timeout is the time within which the body of a request has to be received. Default
+	// 10s: callers wait no longer for their answer.
+	Timeout time.Duration `yaml:"timeout,omitempty" validate:"gte=0"`
+	// Connections bounds the open TCP connections to all listeners of the process. Default
+	// 8 for each megabyte of budget.memory_mb, so that the buffers of all take half of the
+	// machine's memory at most, but no more than three quarters of budget.descriptors.
+	Connections int `yaml:"connections,omitempty" validate:"gte=0"`
+}
+
+const (
+	// intakeShare is the divisor of the memory budget that gives the default of
+	// Intake.MemoryMB.
+	intakeShare = 8
+	// connectionsPerMB follows from 64 KiB for a connection, 32 KiB of them in the kernel.
+	connectionsPerMB = 8
+	// minPeers is the least default of PoolEntry.Peers.
+	minPeers = 64
+)
+
+// ApplyDefaults fills unset fields.
+func (i *Intake) ApplyDefaults(b Budget) {
+	setDefault(&i.MemoryMB, max(b.MemoryMB/intakeShare, 1))
+	setDefault(&i.Timeout, 10*time.Second)
+	connections := max(connectionsPerMB*b.MemoryMB, connectionsPerMB)
+	if b.Descriptors > 0 {
+		connections = min(connections, max(b.Descriptors*3/4, 1))
+	}
+	setDefault(&i.Connections, connections)
+}
+
 // ApplyDefaults fills unset fields.
 func (e *PoolEntry) ApplyDefaults() {
 	e.Timing.ApplyDefaults()
 	setDefault(&e.Advertise, e.Listen)
 	setDefault(&e.MaxWaiting, 5000)
+	e.Intake.ApplyDefaults(e.Budget)
+	setDefault(&e.Peers, minPeers+max(e.Budget.MemoryMB, 0))
 }
 
 // ApplyDefaults fills unset fields.
 func (a *PoolAgent) ApplyDefaults() {
 	a.Timing.ApplyDefaults()
 	setDefault(&a.Fanout, 3)
+	a.Intake.ApplyDefaults(a.Budget)
 }
 
 // ApplyDefaults fills unset fields.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -35,6 +35,30 @@
 	is.Equal(f.Agent.AcceptWindow, f.Entry.Ownership.AcceptWindow) // the lease protocol requires equal windows
 }
 
+const validPoolEntry = `
+pool_entry:
+  name: entry-1
+  listen: 127.0.0.1:7101
+  http: 127.0.0.1:8101
+  readiness: 127.0.0.1:8102
+  store: {address: "127.0.0.1:9000"}
+  timing: {lease: 1s, stop_time: 50ms, retransmit: 1300ms, grace: 6s}
+  budget: {memory_mb: 144, descriptors: 3075}
+`
+
+// TestIntakeFollowsTheBudget guards against limits that ordinary clients meet, or whose sum
+// exceeds the smallest machine in use.
+func TestIntakeFollowsTheBudget(t *testing.T) {
+	is := is.New(t)
+	f, err := Parse([]byte(validPoolEntry))
+	is.NoErr(err)
+	is.Equal(f.PoolEntry.Intake, Intake{MemoryMB: 18, Timeout: 10 * time.Second, Connections: 1152})
+	is.Equal(f.PoolEntry.Peers, 208)
+	small := Intake{}
+	small.ApplyDefaults(Budget{MemoryMB: 4, Descriptors: 20})
+	is.Equal(small, Intake{MemoryMB: 1, Timeout: 10 * time.Second, Connections: 15})
+}
+
 func TestAllFaultsAreReportedTogether(t *testing.T) {
 	is := is.New(t)
 	_, err := Parse([]byte(`
@@ -66,6 +90,10 @@
 			"entry.ownership.agent_timeout: got 11m0s, expected less than resubmit_window, which is 10m0s"},
 		{"heartbeat", validAgent + "  heartbeat: 3s\n",
 			"agent.heartbeat: got 3s, expected less than accept_window, which is 2.5s"},
+		{"intake memory", validPoolEntry + "  intake: {memory_mb: 145}\n",
+			"pool_entry.intake.memory_mb: got 145, expected at most budget.memory_mb, which is 144"},
+		{"intake connections", validPoolEntry + "  intake: {connections: 3076}\n",
+			"pool_entry.intake.connections: got 3076, expected at most budget.descriptors, which is 3075"},
 		{"part of TLS", validAgent + "  tls: {ca: x, key_env: K}\n",
 			"agent.tls.cert: got nothing, expected a value, as other fields of tls are set"},
 		{"TLS twice", validEntry + "  tls: {ca: x, ca_env: A, cert: x, key: x}\n",
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -29,9 +29,11 @@
 	}
 	if f.PoolEntry != nil {
 		faults = append(faults, f.PoolEntry.Timing.crossFieldFaults("pool_entry.timing")...)
+		faults = append(faults, f.PoolEntry.Intake.crossFieldFaults("pool_entry.intake", f.PoolEntry.Budget)...)
 	}
 	if f.PoolAgent != nil {
 		faults = append(faults, f.PoolAgent.Timing.crossFieldFaults("pool_agent.timing")...)
+		faults = append(faults, f.PoolAgent.Intake.crossFieldFaults("pool_agent.intake", f.PoolAgent.Budget)...)
 	}
 	if f.Entry != nil {
 		o := f.Entry.Ownership
@@ -54,6 +56,22 @@
 	return checkBelow(path+".silence", t.HeartbeatTimeout+t.StopTime, "retransmit", t.ResubmitDelay)
 }
 
+// crossFieldFaults checks that the limits are within the budget of the process. A budget
+// that is invalid itself has its own fault.
+func (i Intake) crossFieldFaults(path string, b Budget) validation.Faults {
+	var faults validation.Faults
+	check := func(field string, value int, budgetField string, budget int) {
+		if budget > 0 && value > budget {
+			faults = append(faults, Fault{
+				Path: path + "." + field, Value: fmt.Sprint(value), Expected: fmt.Sprintf("at most budget.%s, which is %d", budgetField, budget),
+			})
+		}
+	}
+	check("memory_mb", i.MemoryMB, "memory_mb", b.MemoryMB)
+	check("connections", i.Connections, "descriptors", b.Descriptors)
+	return faults
+}
+
 // checkBelow checks that a duration is less than another one, which otherName
 // names in the fault.
 func checkBelow(path string, d time.Duration, otherName string, other time.Duration) validation.Faults {
