Transport: limits for connections, frames and windows of peers

Cause: a peer took 64 MB with a prefix of four bytes: 320 connections that announced frames of 60 MB and sent 1 MB of each took 400 MB of an entry's 64. Connections and handshakes had no limit. Change: a frame's buffer grows with what has arrived, within a budget for all connections of a listener; the connection with the oldest incomplete frame is closed. An entry of a pool accepts a limited number of connections, verifies addresses from half of it on, and offers smaller flow-control windows. Counters transport.connections.refused and transport.frames.refused, log line "peer refused".

--- a/command/platform.go
+++ b/command/platform.go
@@ -76,11 +76,11 @@
 		return err
 	}
 	metrics := telemetry.New()
-	network, err := transport.NewQUIC(settings.TLS{}, transport.WithMetrics(metrics))
+	events := telemetry.NewEventLog(os.Stdout, role, logLevel(file.Log))
+	network, err := transport.NewQUIC(settings.TLS{}, transport.WithMetrics(metrics), transport.WithLimits(peerLimits(file, events)))
 	if err != nil {
 		return err
 	}
-	events := telemetry.NewEventLog(os.Stdout, role, logLevel(file.Log))
 	process, err := start(file, platform.Environment{Network: network, Metrics: metrics, Log: events, Version: Version})
 	if err != nil {
 		return err
@@ -93,6 +93,20 @@
 	return err
 }
 
+// peerLimits returns the limits of connections from agents and other entries. Agents accept
+// none.
+func peerLimits(file *settings.File, events *telemetry.EventLog) transport.Limits {
+	if file.PoolEntry == nil {
+		return transport.Limits{}
+	}
+	return transport.Limits{
+		Connections: file.PoolEntry.Peers, FrameBytes: int64(file.PoolEntry.Intake.MemoryMB) << 19,
+		Refused: func(peer, reason string) {
+			events.Failure().Str("event", "peer refused").Str("peer", peer).Str("cause", reason).Msg("")
+		},
+	}
+}
+
 func stopTimeout(file *settings.File) time.Duration {
 	if file.PoolEntry != nil {
 		return file.PoolEntry.Timing.GracePeriod
--- a/transport/accepted.go
+++ b/transport/accepted.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"marjoramlug.example/marjoramlug/intake"
 	"marjoramlug.example/marjoramlug/message"
 )
 
@@ -11,6 +12,10 @@
 type acceptedConns struct {
 	self    message.Hello
 	handler Handler
+	// frames is the memory for frames that are being received; nil sets no bound.
+	// frameEvicted is called when a connection is closed for want of it.
+	frames       *intake.Budget
+	frameEvicted func(peer message.Hello)
 
 	mu     sync.Mutex
 	closed bool
@@ -36,6 +41,7 @@
 		return
 	}
 	defer a.remove(l)
+	l.frames, l.frameEvicted = a.frames, a.frameEvicted
 	a.handler.Connected(l)
 	l.run()
 }
--- a/transport/frame.go
+++ b/transport/frame.go
@@ -17,6 +17,9 @@
 	// maxHelloBytes is the maximum size of a Hello; it limits what a peer that is
 	// not authenticated yet can make this process allocate.
 	maxHelloBytes = 4 << 10
+	// firstReadBytes is the size of the buffer for the first part of a frame; most frames
+	// fit in it.
+	firstReadBytes = 4 << 10
 )
 
 // appendFrame appends a message with its length prefix to buf. On an error it
@@ -37,12 +40,12 @@
 }
 
 // readFrame reads the content of one frame into buf, replacing buf by a larger
-// one if needed.
-func readFrame(r *bufio.Reader, buf []byte) ([]byte, error) {
-	return readBounded(r, buf, maxFrameBytes)
+// one if needed. reserve is called before each extension of buf.
+func readFrame(r *bufio.Reader, buf []byte, reserve func(bytes int) error) ([]byte, error) {
+	return readBounded(r, buf, maxFrameBytes, reserve)
 }
 
-func readBounded(r *bufio.Reader, buf []byte, limit uint32) ([]byte, error) {
+func readBounded(r *bufio.Reader, buf []byte, limit uint32, reserve func(bytes int) error) ([]byte, error) {
 	var prefix [prefixBytes]byte
 	if _, err := io.ReadFull(r, prefix[:]); err != nil {
 		return nil, err
@@ -51,12 +54,23 @@
 	if size > limit {
 		return nil, fmt.Errorf("frame of %d bytes exceeds the limit of %d", size, limit)
 	}
-	if cap(buf) < int(size) {
-		buf = make([]byte, size)
+	// The buffer grows with what has arrived: a peer that only announces a large frame
+	// takes no memory.
+	for buf = buf[:0]; len(buf) < int(size); {
+		n := min(int(size)-len(buf), max(len(buf), cap(buf), firstReadBytes))
+		if cap(buf) < len(buf)+n {
+			if err := reserve(n); err != nil {
+				return nil, err
+			}
+			buf = append(make([]byte, 0, len(buf)+n), buf...)
+		}
+		part := buf[len(buf) : len(buf)+n]
+		if _, err := io.ReadFull(r, part); err != nil {
+			return nil, err
+		}
+		buf = buf[:len(buf)+n]
 	}
-	buf = buf[:size]
-	_, err := io.ReadFull(r, buf)
-	return buf, err
+	return buf, nil
 }
 
 func writeHello(w io.Writer, self message.Hello) error {
@@ -69,7 +83,7 @@
 }
 
 func readHello(r *bufio.Reader) (message.Hello, error) {
-	data, err := readBounded(r, nil, maxHelloBytes)
+	data, err := readBounded(r, nil, maxHelloBytes, func(int) error { return nil })
 	if err != nil {
 		return message.Hello{}, fmt.Errorf("read hello: %w", err)
 	}
--- a/transport/link.go
+++ b/transport/link.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"marjoramlug.example/marjoramlug/intake"
 	"marjoramlug.example/marjoramlug/message"
 )
 
@@ -41,6 +42,11 @@
 	peer       message.Hello
 	handler    Handler
 	authorizer authorizer
+	// frames is the memory for frames that are being received, shared by the connections
+	// of a listener; nil sets no bound besides the maximum frame size.
+	// frameEvicted is called when the connection is closed for want of it.
+	frames       *intake.Budget
+	frameEvicted func(peer message.Hello)
 	// done is closed after the handler's Disconnected call.
 	done chan struct{}
 
@@ -166,11 +172,17 @@
 	close(l.done)
 }
 
-func (l *link) readLoop() error {
+func (l *link) readLoop() (err error) {
 	var buf []byte
+	// Abort waits until the connection has ended, and evict is called with the budget locked.
+	share := frameShare{budget: l.frames, evict: func() { go l.stream.Abort() }}
+	defer func() {
+		if evicted := share.release(); evicted || errors.Is(err, intake.ErrExhausted) {
+			l.frameEvicted(l.peer)
+		}
+	}()
 	for {
-		var err error
-		if buf, err = readFrame(l.reader, buf); err != nil {
+		if buf, err = readFrame(l.reader, buf, share.reserve); err != nil {
 			return err
 		}
 		m, err := message.Decode(buf)
@@ -187,6 +199,7 @@
 		if cap(buf) > maxRetainedBufferBytes {
 			buf = nil
 		}
+		share.release()
 	}
 }
 
--- a/transport/quic.go
+++ b/transport/quic.go
@@ -34,6 +34,7 @@
 	identity identity
 	config   *quic.Config
 	metrics  *telemetry.Registry
+	limits   Limits
 
 	mu sync.Mutex
 	// dialer is the socket shared by all outgoing connections.
@@ -87,12 +88,15 @@
 		return nil, err
 	}
 	transport := &quic.Transport{Conn: socket}
+	n.limit(transport)
 	listener, err := transport.Listen(n.identity.serverConfig(), n.config)
 	if err != nil {
 		_ = socket.Close()
 		return nil, fmt.Errorf("listen %s: %w", address, err)
 	}
 	l := &quicListener{network: n, socket: socket, transport: transport, listener: listener, acceptedConns: newAcceptedConns(self, h)}
+	l.acceptedConns.frames = n.frames()
+	l.acceptedConns.frameEvicted = func(peer message.Hello) { n.refused(peer.Name, "frames", counterFramesRefused) }
 	l.wg.Add(1)
 	go l.acceptLoop()
 	return l, nil
