Intake: a request that is evicted at its end is refused

Cause: the eviction of a request between its last byte and the release of its share left a deadline in the past, which ends net/http's watch of the connection and so the job; the job was accepted and abandoned at once. Change: such a request is refused with 503. Clearing the deadline is left to net/http, which does it when it has read the end of a body. Two tests are stricter: a refused body that was sent whole still closes the connection, and the connection serves another request after a long wait for an answer.

--- a/intake/gate.go
+++ b/intake/gate.go
@@ -118,15 +118,19 @@
 // one of this package's if a limit was reached. The server closes the connection of a
 // request that was not received whole.
 func (b *Body) Close(err error) error {
-	b.request.Release()
+	evicted := b.request.Release()
 	b.gate.publish()
-	if b.err != nil {
+	switch {
+	case b.err != nil:
 		err = b.err
+	case evicted:
+		// Its deadline is past, which also ends the server's watch for the client's end.
+		err = ErrEvicted
 	}
 	if err != nil {
 		return b.refuse(err)
 	}
-	setReadDeadline(b.w, time.Time{})
+	// The server has cleared the deadline when it read the end of the body.
 	connectionOf(b.r).work()
 	return nil
 }
--- a/intake/gate_test.go
+++ b/intake/gate_test.go
@@ -62,6 +62,9 @@
 	if r.URL.Path == "/wait" {
 		s.read <- struct{}{}
 		<-s.release
+		if err := r.Context().Err(); err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+		}
 	}
 }
 
@@ -101,8 +104,9 @@
 		timeout time.Duration
 		request string
 	}{
-		"timeout":   {time.Millisecond, post("/", 20, complete)},
-		"too-large": {time.Hour, post("/", 100_001, "")},
+		"timeout": {time.Millisecond, post("/", 20, complete)},
+		// Sent whole: net/http alone would read it and go on with the connection.
+		"too-large": {time.Hour, post("/", 100_001, strings.Repeat("x", 100_001))},
 		"evicted":   {time.Hour, post("/", 20_000, complete)},
 	} {
 		t.Run(reason, func(t *testing.T) {
@@ -129,7 +133,8 @@
 }
 
 // TestTimeoutEndsWithTheBody guards against a limit for bodies that ends the wait for an
-// answer, and against one that a connection keeps for its next request.
+// answer, and against one that a connection keeps for its next request. It relies on net/http,
+// which clears the deadline at the end of a body.
 func TestTimeoutEndsWithTheBody(t *testing.T) {
 	is := is.New(t)
 	const timeout = 50 * time.Millisecond
@@ -142,6 +147,11 @@
 	is.NoErr(err)
 	is.Equal(status, http.StatusOK)
 	is.True(!closes)
+	_, err = io.WriteString(conn, post("/", 12, `{"text":"a"}`))
+	is.NoErr(err)
+	status, _, _, err = answer(conn)
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
 }
 
 // TestConnectionLimitClosesTheLongestWaiting guards against a limit that makes new
