Entries: bound the memory for bodies that are being received

Its agents had no time limit for a body. Change: Gate.Metered charges twice the received bytes until the end of a body, at most limits.intake_bytes (256 MiB) for all; beyond it the oldest incomplete request is refused with 503, "not run", or "may have run" if the caller named the job. Agents read a request within 5 s. The budget refuses what never fits before it evicts others. Measured: TestBodyBeyondTheMemoryForRequests fails without the charge and with a verdict that ignores the caller's job ID. Tests of api, entry, agent, intake and settings pass. Not measured: memory of a whole entry under a crowd.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -148,7 +148,7 @@
 	ctx, a.stop = context.WithCancel(ctx)
 	defer a.stop()
 	a.listener = listener
-	server := &http.Server{Handler: a.handler(), ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{Handler: a.handler(), ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	close(a.ready)
--- a/agent/http.go
+++ b/agent/http.go
@@ -13,7 +13,12 @@
 )
 
 const (
-	readHeaderTimeout = 5 * time.Second
+	// readTimeout bounds the reading of a request; idleTimeout is longer than the interval
+	// between announcements.
+	readTimeout = 5 * time.Second
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 64 << 10
 	// maxAnnouncementBytes is the maximum size of an announcement.
 	maxAnnouncementBytes = 64 << 10
 	// maxNameBytes is the maximum length of the name of a service or an endpoint.
--- a/api/caller.go
+++ b/api/caller.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"marjoramlug.example/marjoramlug/intake"
 	"marjoramlug.example/marjoramlug/message"
 	"marjoramlug.example/marjoramlug/verdict"
 )
@@ -65,7 +66,7 @@
 	}
 	tasks, err := decodeJob(http.MaxBytesReader(w, r.Body, h.limits.BodyBytes), h.limits.TasksPerJob)
 	if err != nil {
-		refuse(w, decodeProblem(err))
+		refuse(w, bodyProblem(r, err))
 		return
 	}
 	job, ok := h.prepare(w, r, key, tasks)
@@ -139,7 +140,7 @@
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.limits.BodyBytes))
 	if err != nil {
-		refuse(w, decodeProblem(err))
+		refuse(w, bodyProblem(r, err))
 		return
 	}
 	task := message.Task{Method: r.Method, Path: "/" + r.PathValue("path"), Header: forwardedHeader(r.Header), Body: body}
@@ -316,6 +317,24 @@
 	return p
 }
 
+// bodyProblem is decodeProblem for the body of a request, which may also have been refused
+// for a limit of the process. An earlier submission of a job whose ID the caller chose may
+// have run.
+func bodyProblem(r *http.Request, err error) Problem {
+	if intake.Reason(err) == "" {
+		return decodeProblem(err)
+	}
+	p := Problem{Verdict: verdict.NotRun, Reason: verdict.ReasonUnavailable, Detail: err.Error(), RetryAfterMillis: intakeRetry.Milliseconds()}
+	if r.Header.Get(HeaderIdempotencyKey) != "" {
+		p.Verdict = verdict.MayHaveRun
+	}
+	return p
+}
+
+// intakeRetry is the delay after which a request that was refused for a limit of the process
+// may be sent again.
+const intakeRetry = time.Second
+
 func refuse(w http.ResponseWriter, p Problem) {
 	w.Header().Set(HeaderVerdict, p.Verdict.String())
 	WriteProblem(w, 0, p)
--- a/api/caller_test.go
+++ b/api/caller_test.go
@@ -12,7 +12,9 @@
 
 	"github.com/matryer/is"
 
+	"marjoramlug.example/marjoramlug/intake"
 	"marjoramlug.example/marjoramlug/message"
+	"marjoramlug.example/marjoramlug/telemetry"
 	"marjoramlug.example/marjoramlug/verdict"
 )
 
@@ -299,3 +301,25 @@
 		})
 	}
 }
+
+// TestBodyBeyondTheMemoryForRequests guards against a body that is read whatever memory is
+// left, and against a refusal that denies an earlier submission of the job.
+func TestBodyBeyondTheMemoryForRequests(t *testing.T) {
+	for key, want := range map[string]verdict.Verdict{"": verdict.NotRun, "batch-1": verdict.MayHaveRun} {
+		is := is.New(t)
+		mux := http.NewServeMux()
+		backend := &fakeBackend{}
+		NewCallerHandler(backend, NewAuthenticator(nil), RequestLimits{BodyBytes: 100_000, TasksPerJob: 3}).Register(mux)
+		metrics := telemetry.New()
+		req := httptest.NewRequest(http.MethodPost, "/v1/services/trials/requests/x", strings.NewReader(strings.Repeat("x", 50_000)))
+		req.Header.Set(HeaderIdempotencyKey, key)
+		w := httptest.NewRecorder()
+		intake.NewGate(40_000, time.Second, metrics).Metered(mux).ServeHTTP(w, req)
+		is.Equal(w.Code, http.StatusServiceUnavailable)
+		is.Equal(w.Header().Get("Retry-After"), "1")
+		is.Equal(w.Header().Get(HeaderVerdict), want.String())
+		is.Equal(len(backend.submitted), 0)
+		is.Equal(metrics.Counters()["intake.refused.exhausted"], int64(1))
+		is.Equal(metrics.Gauges()["intake.bytes"], int64(0))
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -167,7 +167,7 @@
 	e.httpServer = &http.Server{
 		Handler:        e.handler(),
 		MaxHeaderBytes: e.settings.Limits.HeaderBytes,
-		ReadTimeout:    time.Minute,
+		ReadTimeout:    readTimeout,
 		IdleTimeout:    2 * time.Minute,
 	}
 	e.run(func() { _ = e.httpServer.Serve(e.httpListener) })
--- a/entry/http.go
+++ b/entry/http.go
@@ -3,10 +3,15 @@
 import (
 	"errors"
 	"net/http"
+	"time"
 
 	"marjoramlug.example/marjoramlug/api"
+	"marjoramlug.example/marjoramlug/intake"
 )
 
+// readTimeout bounds the reading of a request.
+const readTimeout = time.Minute
+
 // handler builds the HTTP interface for callers, operators and monitoring.
 func (e *Entry) handler() http.Handler {
 	mux := http.NewServeMux()
@@ -15,7 +20,7 @@
 	api.NewCallerHandler(e, auth, limits).Register(mux)
 	api.NewOperatorHandler(operatorBackend{e}, operatorBackend{e}, auth).Register(mux)
 	e.metrics.Register(mux, e.readiness)
-	return mux
+	return intake.NewGate(e.settings.Limits.IntakeBytes, readTimeout, e.metrics).Metered(mux)
 }
 
 // readiness returns nil if the entry can accept jobs, otherwise an error that
--- a/intake/budget.go
+++ b/intake/budget.go
@@ -69,6 +69,9 @@
 // makeRoom reserves bytes for r and evicts older requests as needed. The oldest request
 // is never helped by evicting younger ones.
 func (b *Budget) makeRoom(r *Request, bytes int64) error {
+	if r.bytes+bytes > b.limit {
+		return ErrExhausted
+	}
 	for b.used+bytes > b.limit {
 		front := b.incomplete.Front()
 		if front == nil {
@@ -97,14 +100,6 @@
 	return r.budget.makeRoom(r, bytes)
 }
 
-// Complete notes that the request has been received: it keeps its share until Release and
-// is not evicted any more.
-func (r *Request) Complete() {
-	r.budget.mu.Lock()
-	defer r.budget.mu.Unlock()
-	r.leave()
-}
-
 // Release returns the request's share and reports whether the request was evicted.
 func (r *Request) Release() (evicted bool) {
 	r.budget.mu.Lock()
--- a/intake/gate.go
+++ b/intake/gate.go
@@ -138,13 +138,17 @@
 func (b *Body) refuse(err error) error {
 	setReadDeadline(b.w, time.Now().Add(lingerTime))
 	b.w.Header().Set("Connection", "close")
+	b.gate.countRefused(err)
+	return err
+}
+
+func (g *Gate) countRefused(err error) {
 	if reason := Reason(err); reason != "" {
-		b.gate.metrics.Add("intake.refused."+reason, 1)
+		g.metrics.Add("intake.refused."+reason, 1)
 		if reason == "evicted" {
-			b.gate.metrics.Add("intake.evicted", 1)
+			g.metrics.Add("intake.evicted", 1)
 		}
 	}
-	return err
 }
 
 func (g *Gate) publish() { g.metrics.Set("intake.bytes", g.budget.Used()) }
--- a/settings/load.go
+++ b/settings/load.go
@@ -90,6 +90,7 @@
 // ApplyDefaults fills unset fields.
 func (l *Limits) ApplyDefaults() {
 	setDefault(&l.BodyBytes, 16<<20)
+	setDefault(&l.IntakeBytes, max(256<<20, 16*l.BodyBytes))
 	setDefault(&l.HeaderBytes, 64<<10)
 	setDefault(&l.TasksPerJob, 1900)
 	setDefault(&l.AnswerBytes, 64<<20)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -145,6 +145,9 @@
 type Limits struct {
 	// BodyBytes bounds a request's body. Default 16 MiB.
 	BodyBytes int64 `yaml:"body_bytes,omitempty" validate:"gte=0"`
+	// IntakeBytes bounds the memory for the bodies of all requests that are being received;
+	// each takes up to twice its size. Default 256 MiB, at least 16 times BodyBytes.
+	IntakeBytes int64 `yaml:"intake_bytes,omitempty" validate:"gte=0"`
 	// HeaderBytes bounds a request's header. Default 64 KiB.
 	HeaderBytes int `yaml:"header_bytes,omitempty" validate:"gte=0"`
 	// TasksPerJob bounds the number of tasks of a job. Default 1900.
