Intake: readers of large bodies yield the processor

Cause: a trial with the smallest entry in use (144 MB, 3,075 descriptors) and 2,500 connections that send bodies of 256 KiB: memory held, but the ordinary job was refused ("no endpoint takes tasks", "the entry was held up for 473ms"), as a thousand readers ran for as long as their connections had data. Change: a reader yields after every 4 KiB.

--- a/intake/json.go
+++ b/intake/json.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"runtime"
 	"strings"
 )
 
@@ -19,6 +20,9 @@
 	nameBytes = 64
 	// maxLiteralBytes bounds a number.
 	maxLiteralBytes = 512
+	// yieldBytes is what is read before other goroutines get the processor: many clients that
+	// send large bodies at once would otherwise delay the work of the process.
+	yieldBytes = 4 << 10
 	// maxDepth bounds the nesting of values that are not wanted, as encoding/json does.
 	maxDepth = 10_000
 )
@@ -173,7 +177,9 @@
 	reserve func() error
 	err     error
 	in      [512]byte
-	pending []byte
+	// unyielded counts the bytes read since the last yield.
+	unyielded int
+	pending   []byte
 
 	mode int
 	// emitted counts the bytes of a wanted value; reserved is set once memory is reserved
@@ -218,6 +224,10 @@
 			var got int
 			got, c.err = c.src.Read(c.in[:])
 			c.pending = c.in[:got]
+			if c.unyielded += got; c.unyielded >= yieldBytes {
+				c.unyielded = 0
+				runtime.Gosched()
+			}
 			continue
 		}
 		if c.mode == skipMode && c.last == ':' {
