Intake: bodies that are decoded as a stream reserve their memory at the start

Cause: a trial with an agent of 144 MB and 800 heartbeats of 4 MiB at once: memory held (45 MB), but the agent was busy reading, so that the ordinary job was refused ("no endpoint takes tasks"). Change: such a body reserves 72 KiB when it is admitted, instead of 8 KiB and the rest when a value is long. That also bounds how many are read at a time, to 256 with 18 MB; the reservation during decoding is gone. Tests of intake (2 times, race detector), platform, api and crowd pass.

--- a/intake/gate.go
+++ b/intake/gate.go
@@ -79,6 +79,8 @@
 	size := int64(baseBytes)
 	if b.isSmall() {
 		size += r.ContentLength
+	} else {
+		size += streamBytes
 	}
 	request, err := g.budget.Begin(size, func() { setReadDeadline(w, time.Unix(1, 0)) })
 	if err != nil {
--- a/intake/json.go
+++ b/intake/json.go
@@ -12,10 +12,9 @@
 const (
 	// maxValueBytes bounds the JSON text of a value that is wanted.
 	maxValueBytes = 32 << 10
-	// freeValueBytes is the part of a wanted value that baseBytes covers; valueBytes is
-	// reserved for a longer one: the decoder's buffer is up to twice the value.
-	freeValueBytes = 2 << 10
-	valueBytes     = 2 * maxValueBytes
+	// streamBytes is reserved for a body that is decoded as a stream: the decoder's buffer is
+	// up to twice a wanted value. It also bounds how many large bodies are read at a time.
+	streamBytes = 2 * maxValueBytes
 	// nameBytes is what is kept of a name: more than the longest known name has.
 	nameBytes = 64
 	// maxLiteralBytes bounds a number.
@@ -52,7 +51,7 @@
 		}
 		return json.Unmarshal(data, whole)
 	}
-	return newDecoder(b, func() error { return b.request.Reserve(valueBytes) }).decodeAll(fields)
+	return newDecoder(b).decodeAll(fields)
 }
 
 // decodeAll reads the text, which must contain one object.
@@ -75,8 +74,8 @@
 	text *compactor
 }
 
-func newDecoder(src io.Reader, reserve func() error) *Decoder {
-	text := &compactor{src: src, reserve: reserve}
+func newDecoder(src io.Reader) *Decoder {
+	text := &compactor{src: src}
 	d := &Decoder{json: json.NewDecoder(text), text: text}
 	d.json.UseNumber()
 	return d
@@ -173,19 +172,16 @@
 // clients could use to keep an entry from its work. A call of Read ends after each colon and
 // comma, so that the decoder has not read a part of a value before its mode is set.
 type compactor struct {
-	src     io.Reader
-	reserve func() error
-	err     error
-	in      [512]byte
+	src io.Reader
+	err error
+	in  [512]byte
 	// unyielded counts the bytes read since the last yield.
 	unyielded int
 	pending   []byte
 
 	mode int
-	// emitted counts the bytes of a wanted value; reserved is set once memory is reserved
-	// for a long one.
+	// emitted counts the bytes of a wanted value.
 	emitted  int
-	reserved bool
 	inString bool
 	// escape counts the bytes that remain of an escape sequence; -1 is before its kind.
 	escape int
@@ -306,10 +302,6 @@
 	if c.emitted > maxValueBytes {
 		return errValueTooLarge
 	}
-	if c.emitted > freeValueBytes && !c.reserved {
-		c.reserved = true
-		return c.reserve()
-	}
 	return nil
 }
 
