--- a/deploy/regression.sh
+++ b/deploy/regression.sh
@@ -31,5 +31,8 @@
 run 3 further-grown/crp-sched-grown
 run 3 grown/rnb-briquette-trials-grown
 run 3 grown/zpe-savinja-grown
+run 3 shifted/rnb-briquette-trials-now-grown
+run 3 demands/estlab-mvd-grown
+run 3 demands/bmbw-ci-grown
 # Each day of the large deployment takes some 3 GB.
 run 2 large/rnb-briquette-trials-large
