--- a/emulator/endpoint.go
+++ b/emulator/endpoint.go
@@ -185,6 +185,7 @@
 	r := &endpointRun{ref: ref, job: j, left: j.works[ref.Task], worksSince: e.sim.clock.now}
 	e.runs.Set(ref, r)
 	e.sim.result.Starts++
+	j.taskStarted(ref.Task, e.sim.clock.now)
 	e.used = e.used.Plus(j.need)
 	if !e.used.Fits(e.capacity) {
 		e.sim.result.OverCapacity++
--- a/emulator/experiment.go
+++ b/emulator/experiment.go
@@ -43,6 +43,11 @@
 	// Weight is the share of the callers that one entry gets, relative to others.
 	// Default 1.
 	Weight float64 `yaml:"weight,omitempty" validate:"gte=0,lte=1000"`
+	// Swing is the amplitude of an oscillation of the weight, as a share of it, Period
+	// its period and Phase its phase as a share of the period. Period defaults to 15 s.
+	Swing  float64       `yaml:"swing,omitempty" validate:"gte=0,lte=1"`
+	Period time.Duration `yaml:"period,omitempty" validate:"gte=0,lte=600000000000"`
+	Phase  float64       `yaml:"phase,omitempty" validate:"gte=0,lte=1"`
 }
 
 // EndpointGroup is a number of agents with endpoints of the same kind.
@@ -65,6 +70,8 @@
 	Tasks int           `yaml:"tasks" validate:"gt=0,lte=1900"`
 	Cores float64       `yaml:"cores" validate:"gt=0,lte=1024"`
 	Work  time.Duration `yaml:"work" validate:"gt=0,lte=60000000000"`
+	// MaxTasks bounds the number of tasks; 0 sets no bound.
+	MaxTasks int `yaml:"max_tasks,omitempty" validate:"gte=0,lte=1900"`
 	// Spread is the standard deviation of the logarithm of run times, EstimateError
 	// the same of the callers' estimates. Defaults 0.4 and 0.3.
 	Spread        float64 `yaml:"spread,omitempty" validate:"gte=0,lte=2"`
@@ -128,6 +135,7 @@
 	for i := range x.Fleet.Entries {
 		g := &x.Fleet.Entries[i]
 		g.Weight = cmp.Or(g.Weight, 1)
+		g.Period = cmp.Or(g.Period, 15*time.Second)
 	}
 	for i := range x.Fleet.Agents {
 		g := &x.Fleet.Agents[i]
--- a/emulator/nodes.go
+++ b/emulator/nodes.go
@@ -41,11 +41,11 @@
 
 // entryNode is an entry: its core and the events that wait for its processor.
 type entryNode struct {
-	sim    *simulation
-	name   string
-	cores  float64
-	weight float64
-	core   *scheduler.Core
+	sim   *simulation
+	name  string
+	cores float64
+	group *EntryGroup
+	core  *scheduler.Core
 	// life numbers the incarnations of the process; alive is false between two.
 	life  uint64
 	alive bool
--- a/emulator/perfect.go
+++ b/emulator/perfect.go
@@ -100,6 +100,7 @@
 			return false
 		}
 		took := time.Duration(float64(j.works[j.next]) * e.slowness)
+		j.taskStarted(j.next, q.sim.clock.now)
 		j.next++
 		e.free -= j.need.MilliCPU
 		q.sim.result.Starts++
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -84,6 +84,11 @@
 	Worth   float64 `json:"worth"`
 	// RefusedAfter is the mean time until a refusal, in objectives.
 	RefusedAfter float64 `json:"refused_after"`
+	// Widest holds the tenth of the jobs with the most tasks, NextWidest the 20 % below
+	// it, Others the rest.
+	Widest     WidthResult `json:"widest"`
+	NextWidest WidthResult `json:"next_widest"`
+	Others     WidthResult `json:"others"`
 }
 
 func newResult(x *Experiment, seed int64) *Result {
@@ -158,6 +163,7 @@
 		c.Worth = share(c.Worth, float64(c.Jobs))
 		c.RefusedAfter = share(c.RefusedAfter, float64(c.Refused))
 	}
+	r.rateWidths(s)
 	for _, n := range s.entries {
 		r.BusiestEntry = max(r.BusiestEntry, share(float64(n.busy), float64(s.clock.now)))
 	}
--- a/emulator/runner.go
+++ b/emulator/runner.go
@@ -114,6 +114,7 @@
 				IntervalOf(p.Results, func(r *Result) float64 { return r.Classes[c].RefusedAfter }).Mean)
 		}
 	}
+	r.writeWidths(table, x)
 	// The errors of the lines above are kept by the writer and returned here.
 	return table.Flush()
 }
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -80,6 +80,13 @@
 	entry  *entryNode
 	waiter scheduler.Waiter
 	done   bool
+	// outcome is set once the job is done.
+	outcome outcome
+	// unstarted marks the tasks that have never started, started counts the others;
+	// lastStart is the time of the last first start of a task.
+	unstarted []bool
+	started   int
+	lastStart time.Duration
 	// deadly is set if the first task crashes each endpoint that starts it; crashes
 	// counts these, startsOverBudget the task's starts after as many as the budget
 	// allows.
@@ -129,9 +136,10 @@
 
 func (s *simulation) buildFleet() {
 	var addresses []string
-	for _, g := range s.experiment.Fleet.Entries {
+	for i := range s.experiment.Fleet.Entries {
+		g := &s.experiment.Fleet.Entries[i]
 		for range g.Count {
-			n := &entryNode{sim: s, name: fmt.Sprintf("entry-%d", len(s.entries)), cores: g.Cores, weight: g.Weight}
+			n := &entryNode{sim: s, name: fmt.Sprintf("entry-%d", len(s.entries)), cores: g.Cores, group: g}
 			n.boot()
 			s.entries = append(s.entries, n)
 			addresses = append(addresses, n.name)
@@ -190,14 +198,19 @@
 func (s *simulation) newJob(class int) *job {
 	c := &s.experiment.Classes[class]
 	tasks := max(1, int(math.Round(float64(c.Tasks)*s.logNormal(widthSpread))))
+	if c.MaxTasks > 0 {
+		tasks = min(tasks, c.MaxTasks)
+	}
 	work := float64(c.Work) * s.logNormal(c.Spread)
 	j := &job{
 		id: fmt.Sprintf("job-%d", len(s.jobs)), class: class, sent: s.clock.now,
 		need:     message.Resources{MilliCPU: int64(c.Cores * milliCPU)},
 		estimate: max(time.Duration(work*s.logNormal(c.EstimateError)), time.Millisecond),
 	}
+	j.unstarted = make([]bool, tasks)
 	longest := time.Duration(0)
-	for range tasks {
+	for i := range tasks {
+		j.unstarted[i] = true
 		t := max(time.Duration(work*s.logNormal(unevenness)), time.Millisecond)
 		j.works = append(j.works, t)
 		longest = max(longest, t)
@@ -250,7 +263,7 @@
 	total := 0.0
 	for _, n := range s.entries {
 		if n.alive {
-			total += n.weight
+			total += n.group.weightAt(s.clock.now)
 		}
 	}
 	at := s.random.Float64() * total
@@ -260,13 +273,21 @@
 			continue
 		}
 		drawn = n
-		if at -= n.weight; at < 0 {
+		if at -= n.group.weightAt(s.clock.now); at < 0 {
 			break
 		}
 	}
 	return drawn
 }
 
+// weightAt returns the weight of one entry of the group at a time.
+func (g *EntryGroup) weightAt(now time.Duration) float64 {
+	if g.Swing == 0 {
+		return g.Weight
+	}
+	return g.Weight * (1 + g.Swing*math.Sin(2*math.Pi*(now.Seconds()/g.Period.Seconds()+g.Phase)))
+}
+
 // answered ends a job, unless its caller has given up.
 func (s *simulation) answered(a scheduler.Answer) {
 	j := s.waiters[a.Waiter]
@@ -301,7 +322,7 @@
 	if j.done {
 		return
 	}
-	j.done = true
+	j.done, j.outcome = true, o
 	delete(s.waiters, j.waiter)
 	s.open--
 	s.result.ended(s, j, o)
