--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -26,7 +26,7 @@
 
 var (
 	// libraries may not import any of ioPackages.
-	libraries  = []string{"dispatch", "ownership", "membership", "config", "pool/scheduler", "pool/executor"}
+	libraries  = []string{"dispatch", "ownership", "membership", "config", "pool/scheduler", "pool/executor", "pool/reservation"}
 	ioPackages = []string{"net", "net/http", "os", "os/exec", "github.com/quic-go/quic-go", "github.com/dghubble/sling"}
 )
 
