Entries reserve endpoints for large tasks (setting `reservations`, off by default)

Cause: when several entries use the same endpoints, a large task waits although its entry keeps everything free for it: the other entries' small tasks take what becomes free. At the same time the entry refuses its own small jobs, as after 20 ms nothing behind the large one starts on any endpoint.

Change: with the setting, a task that fits nowhere reserves endpoints (pool/reservation). Others start there only if they are predicted to have ended before, and elsewhere without limit; urgent jobs use reserved endpoints if they fit nowhere else. The agents of reserved endpoints are told so (RunDemand field 4, optional) and hold what becomes free until the task fits; agents of older releases ignore it. Only tasks that need more than others reserve anything: where all need the same, nothing changes also with the setting.

--- a/message/run.go
+++ b/message/run.go
@@ -43,6 +43,8 @@
 	Rank float64 `cbor:"2,keyasint"`
 	// Need is the resource need of each task.
 	Need Resources `cbor:"3,keyasint"`
+	// Hold asks the agent to keep what becomes free until a task fits.
+	Hold bool `cbor:"4,keyasint,omitempty"`
 }
 
 // RunOrders carries an entry's orders to an agent. A message without orders is
--- a/pool/executor/entry.go
+++ b/pool/executor/entry.go
@@ -56,7 +56,10 @@
 
 	offered      message.Resources
 	offeredUntil time.Duration
-	lastOffer    time.Duration
+	// holding is set while the offer is smaller than a task of the demand, which waits
+	// for the rest.
+	holding   bool
+	lastOffer time.Duration
 }
 
 // pendingEnd is an end and the timestamp of the report that first carried it on the
--- a/pool/executor/offer.go
+++ b/pool/executor/offer.go
@@ -60,8 +60,10 @@
 	}
 	var waiting []*entry
 	for _, en := range c.entries.All() {
-		if !en.offered.IsZero() && c.now >= en.offeredUntil {
-			en.offered = message.Resources{}
+		if !en.offered.IsZero() && c.now >= en.offeredUntil || en.holding {
+			// What is held grows with what has become free since. As the lowest rank gets
+			// all of it in each step, two entries can't wait for each other's part.
+			en.offered, en.holding = message.Resources{}, false
 		}
 		if en.session != 0 && en.demand.Count > 0 && !en.hasOffer(c) {
 			waiting = append(waiting, en)
@@ -77,12 +79,25 @@
 	free := c.unreserved(nil)
 	for _, en := range waiting {
 		n := en.demand.Need.Copies(free, en.demand.Count)
-		if n == 0 {
+		switch {
+		case n > 0:
+			en.offered, en.lastOffer = en.demand.Need.Times(n), c.now
+			c.counters.Offers++
+		case en.demand.Hold && en.demand.Need.Fits(c.endpoint.capacity):
+			en.offered, en.holding = lesser(en.demand.Need, free), true
+		default:
 			continue
 		}
-		en.offered = en.demand.Need.Times(n)
-		en.offeredUntil, en.lastOffer = c.now+offerTime, c.now
+		en.offeredUntil = c.now + offerTime
 		free = free.Minus(en.offered)
-		c.counters.Offers++
+	}
+}
+
+// lesser returns the smaller of each component, at least 0.
+func lesser(a, b message.Resources) message.Resources {
+	return message.Resources{
+		MilliCPU:     max(0, min(a.MilliCPU, b.MilliCPU)),
+		MemoryMB:     max(0, min(a.MemoryMB, b.MemoryMB)),
+		Accelerators: max(0, min(a.Accelerators, b.Accelerators)),
 	}
 }
--- a/pool/node/entry.go
+++ b/pool/node/entry.go
@@ -88,6 +88,7 @@
 	return scheduler.Options{
 		HeartbeatTimeout: s.Timing.HeartbeatTimeout, Lease: s.Timing.Lease, StopTime: s.Timing.StopTime,
 		ResubmitDelay: s.Timing.ResubmitDelay, MaxWaiting: s.MaxWaiting,
+		Reservations: s.Reservations,
 	}
 }
 
--- a/pool/reservation/reservation_test.go
+++ b/pool/reservation/reservation_test.go
@@ -126,7 +126,9 @@
 	// Another entry's run, of which the prediction says again and again that it ends soon.
 	endpoints := []Endpoint{{Capacity: cores(26), Free: cores(16), OthersRunTime: 160 * time.Millisecond}}
 	b := NewBook()
-	small := func(at time.Duration) Run { return Run{Need: cores(2.7), Started: at, Expected: 170 * time.Millisecond} }
+	small := func(at time.Duration) Run {
+		return Run{Need: cores(2.7), Started: at, Expected: 170 * time.Millisecond}
+	}
 	idle := 0
 	for at := now; at < now+4*time.Second; at += 10 * time.Millisecond {
 		b.Renew(at, endpoints, []Claim{large("a", 1, 1)})
--- a/pool/scheduler/agent.go
+++ b/pool/scheduler/agent.go
@@ -355,7 +355,7 @@
 		}
 		sinceLastSent := c.now - a.lastSent
 		due := len(a.startOrder) > 0 || len(a.stops) > 0 || sinceLastSent >= Heartbeat || a.messageDue && sinceLastSent >= ackDelay ||
-			sinceLastSent >= demandInterval && (a.demand.Count > 0) != (c.demandFor(a).Count > 0)
+			sinceLastSent >= demandInterval && c.demandChanged(a)
 		if !due {
 			continue
 		}
--- a/pool/scheduler/core.go
+++ b/pool/scheduler/core.go
@@ -27,6 +27,9 @@
 	// MaxWaiting limits the number of waiting tasks; jobs beyond it are
 	// refused.
 	MaxWaiting int
+	// Reservations lets large tasks that fit nowhere reserve endpoints, and others
+	// start there only if they are predicted to end before.
+	Reservations bool
 }
 
 const (
@@ -97,6 +100,9 @@
 	// work.
 	started decayingRate
 
+	// reservations is nil if Options.Reservations is not set.
+	reservations *reservations
+
 	// crashes and suspects hold the crashes of the last minute and the jobs under them.
 	crashes  kernel.OrderedMap[crashID, *crashRecord]
 	suspects kernel.OrderedMap[string, *suspect]
@@ -137,6 +143,7 @@
 func New(opts Options) *Core {
 	return &Core{
 		opts:          opts,
+		reservations:  newReservations(opts),
 		jobs:          map[string]*job{},
 		waiters:       map[Waiter]*job{},
 		queues:        map[string]*queue{},
--- a/pool/scheduler/place.go
+++ b/pool/scheduler/place.go
@@ -126,9 +126,11 @@
 func (c *Core) place() {
 	c.demand, c.demandService = message.RunDemand{}, ""
 	if c.waiting == 0 {
+		c.renewReservations(nil)
 		return
 	}
 	candidates := c.candidates()
+	c.renewReservations(candidates)
 	c.placeAll(candidates, true)
 	c.placeAll(candidates, false)
 }
@@ -148,11 +150,10 @@
 			}
 			continue
 		}
-		if blocked != nil && blocked.Service == j.Service &&
-			(c.now-blocked.received > backfillTime || !smaller(j.Need, blocked.Need)) {
+		if blocked != nil && blocked.Service == j.Service && c.blocks(blocked, j) {
 			continue
 		}
-		if c.placeJob(j, inTime) != noCapacity || blocked != nil {
+		if c.placeJob(j, inTime) != noCapacity || blocked != nil && !c.holdsReservation(blocked) {
 			continue
 		}
 		blocked = j
@@ -161,6 +162,14 @@
 	}
 }
 
+// blocks reports whether a job that fits nowhere keeps a job behind it from starting.
+func (c *Core) blocks(blocked, j *job) bool {
+	if c.holdsReservation(j) {
+		return false
+	}
+	return !smaller(j.Need, blocked.Need) || c.now-blocked.received > backfillTime && !c.holdsReservation(blocked)
+}
+
 // placement is the result of looking for an endpoint for a task.
 type placement uint8
 
@@ -178,6 +187,9 @@
 
 // demandFor returns the demand to report to an agent.
 func (c *Core) demandFor(a *agent) message.RunDemand {
+	if demand, reserved := c.reservedDemand(a); reserved {
+		return demand
+	}
 	if a.endpoint == nil || a.endpoint.Service != c.demandService {
 		return message.RunDemand{}
 	}
@@ -211,6 +223,9 @@
 // if no agent can take the task now.
 func (c *Core) pick(j *job, t *task, inTime bool) (*agent, placement) {
 	a, result := c.pickAmong(j, t, false, inTime)
+	if a == nil && c.overridesReservations(j) {
+		a, result = c.pickReserved(j, t, inTime)
+	}
 	if a != nil || c.anyEligible(j) {
 		return a, result
 	}
@@ -230,6 +245,9 @@
 		if !fits && (inTime || j.late || busyMeets) {
 			continue
 		}
+		if fits && !c.reservationAllows(a, j) {
+			continue
+		}
 		predicted := c.runTime(j, a)
 		meets := predicted <= timeLeft
 		if !fits {
--- a/pool/scheduler/simulation_test.go
+++ b/pool/scheduler/simulation_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -205,6 +206,8 @@
 	urgent  bool
 	tasks   int
 	runTime time.Duration
+	// need is the need of a task in thousandths of a core, 6200 if it is 0.
+	need int64
 }
 
 var (
@@ -225,7 +228,7 @@
 	sim.lastWaiter++
 	j := &testJob{sent: sim.now, runTime: runTime, Job: &Job{
 		ID: fmt.Sprint(k.queue, "-", sim.lastWaiter), Queue: k.queue, Service: "s", Urgent: k.urgent, Tasks: k.tasks,
-		Need:     message.Resources{MilliCPU: 6200},
+		Need:     message.Resources{MilliCPU: cmp.Or(k.need, 6200)},
 		Estimate: estimate,
 		Stretch:  1.6, Slack: 60 * time.Millisecond, Attempts: 3, Deadline: sim.now + 8*time.Second, FirstRun: 1,
 	}}
@@ -236,8 +239,13 @@
 
 // load submits jobs at the given rates, in jobs a second, for the given time.
 func (sim *simulation) load(length time.Duration, rates map[jobKind]float64) {
+	sim.loadOf([]jobKind{check, press, label}, length, rates)
+}
+
+// loadOf is load with other kinds of job.
+func (sim *simulation) loadOf(kinds []jobKind, length time.Duration, rates map[jobKind]float64) {
 	for end := sim.now + length; sim.now < end; {
-		for _, k := range []jobKind{check, press, label} {
+		for _, k := range kinds {
 			if sim.random.Float64() < rates[k]*simulationTick.Seconds() {
 				sim.submit(k)
 			}
--- a/settings/pool.go
+++ b/settings/pool.go
@@ -21,6 +21,9 @@
 	// MaxWaiting bounds the queued tasks. Default 5000: ten seconds of work of
 	// the largest entry in use.
 	MaxWaiting int `yaml:"max_waiting,omitempty" validate:"gte=0"`
+	// Reservations lets large tasks that fit nowhere reserve endpoints; see
+	// docs/design/reservations.md. Default false.
+	Reservations bool `yaml:"reservations,omitempty"`
 }
 
 // PoolAgent is the settings of an agent of a pool.
