Emulator: compare the placement with reservations

Change: an experiment lists the policies to compare (`policies`; product and perfect by default). `reservations` is the product with the setting of the same name.

Test: large tasks of several entries are served at least as well with reservations.

--- a/emulator/experiment.go
+++ b/emulator/experiment.go
@@ -22,6 +22,8 @@
 	// Classes are the kinds of job; each is a queue of its own.
 	Classes []Class `yaml:"classes" validate:"required,min=1,dive"`
 	Faults  []Fault `yaml:"faults,omitempty" validate:"dive"`
+	// Policies are the policies to compare. Default: product and perfect.
+	Policies []string `yaml:"policies,omitempty" validate:"unique,dive,oneof=product reservations perfect"`
 }
 
 // Fleet describes entries, agents and the network between them.
@@ -130,6 +132,9 @@
 }
 
 func (x *Experiment) setDefaults() {
+	if len(x.Policies) == 0 {
+		x.Policies = []string{PolicyProduct, PolicyPerfect}
+	}
 	x.Fleet.Fanout = cmp.Or(x.Fleet.Fanout, agentSettings().Fanout)
 	x.Fleet.Delay = cmp.Or(x.Fleet.Delay, time.Millisecond)
 	for i := range x.Fleet.Entries {
--- a/emulator/nodes.go
+++ b/emulator/nodes.go
@@ -33,6 +33,13 @@
 	return s
 }
 
+// reservingSettings are those of entries that reserve endpoints for large tasks.
+func reservingSettings() settings.PoolEntry {
+	s := entrySettings()
+	s.Reservations = true
+	return s
+}
+
 func agentSettings() settings.PoolAgent {
 	s := settings.PoolAgent{Timing: timing()}
 	s.ApplyDefaults()
@@ -61,7 +68,7 @@
 func (n *entryNode) boot() {
 	n.life++
 	n.alive, n.inbox, n.planned = true, nil, false
-	n.core = scheduler.New(node.SchedulerOptions(entrySettings()))
+	n.core = scheduler.New(node.SchedulerOptions(n.sim.entrySettings))
 	n.unreported = message.CompletedJobs{}
 	for _, other := range n.sim.entries {
 		if other != n && other.alive {
--- a/emulator/runner.go
+++ b/emulator/runner.go
@@ -16,6 +16,8 @@
 const (
 	// PolicyProduct is the product's own: the cores of entries and agents.
 	PolicyProduct = "product"
+	// PolicyReservations is PolicyProduct with the setting reservations.
+	PolicyReservations = "reservations"
 	// PolicyPerfect is one queue with perfect knowledge.
 	PolicyPerfect = "perfect"
 )
@@ -37,23 +39,22 @@
 // and calls progress after each. When ctx ends, it returns the runs that were played
 // to their end, with Report.Interrupted set.
 func RunAll(ctx context.Context, x *Experiment, parallel int, progress func(policy string, r *Result)) (*Report, error) {
-	policies := []struct {
-		name string
-		run  func(context.Context, *Experiment, int64) *Result
-	}{{PolicyProduct, Run}, {PolicyPerfect, RunPerfect}}
-	results := make([][]*Result, len(policies))
+	play := map[string]func(context.Context, *Experiment, int64) *Result{
+		PolicyProduct: Run, PolicyReservations: RunReserving, PolicyPerfect: RunPerfect,
+	}
+	results := make([][]*Result, len(x.Policies))
 	var group errgroup.Group
 	group.SetLimit(max(parallel, 1))
 	var mu sync.Mutex // serializes progress
-	for p, policy := range policies {
+	for p, policy := range x.Policies {
 		results[p] = make([]*Result, len(x.Seeds))
 		for i, seed := range x.Seeds {
 			group.Go(func() error {
-				r := policy.run(ctx, x, seed)
+				r := play[policy](ctx, x, seed)
 				results[p][i] = r
 				mu.Lock()
 				defer mu.Unlock()
-				progress(policy.name, r)
+				progress(policy, r)
 				return nil
 			})
 		}
@@ -61,8 +62,8 @@
 	// The runs return no errors.
 	_ = group.Wait()
 	report := &Report{Interrupted: ctx.Err() != nil}
-	for p, policy := range policies {
-		list := PolicyResults{Policy: policy.name}
+	for p, policy := range x.Policies {
+		list := PolicyResults{Policy: policy}
 		for _, r := range results[p] {
 			if r.Interrupted {
 				continue
@@ -70,7 +71,7 @@
 			list.Results = append(list.Results, r)
 			if r.Overlaps+r.OverCapacity+r.OverBudget > 0 {
 				return report, fmt.Errorf("policy %s, seed %d: %d overlapping runs, %d starts over capacity, %d over the budget of crashes",
-					policy.name, r.Seed, r.Overlaps, r.OverCapacity, r.OverBudget)
+					policy, r.Seed, r.Overlaps, r.OverCapacity, r.OverBudget)
 			}
 		}
 		report.Policies = append(report.Policies, list)
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -42,7 +42,9 @@
 type simulation struct {
 	experiment *Experiment
 	timing     settings.Timing
-	clock      clock
+	// entrySettings are the settings of all entries.
+	entrySettings settings.PoolEntry
+	clock         clock
 	// random draws delays and faults, arrivals the jobs, so that the load of a seed
 	// does not depend on what becomes of it.
 	random, arrivals *rand.Rand
@@ -97,7 +99,17 @@
 // Run plays an experiment with one seed. It returns what was played when ctx ends
 // before the run does, with Result.Interrupted set.
 func Run(ctx context.Context, x *Experiment, seed int64) *Result {
+	return runWith(ctx, x, seed, entrySettings())
+}
+
+// RunReserving is Run with entries that reserve endpoints for large tasks.
+func RunReserving(ctx context.Context, x *Experiment, seed int64) *Result {
+	return runWith(ctx, x, seed, reservingSettings())
+}
+
+func runWith(ctx context.Context, x *Experiment, seed int64, entries settings.PoolEntry) *Result {
 	s := newSimulation(x, seed)
+	s.entrySettings = entries
 	s.buildFleet()
 	s.play(ctx)
 	return s.result
@@ -105,7 +117,7 @@
 
 func newSimulation(x *Experiment, seed int64) *simulation {
 	s := &simulation{
-		experiment: x, timing: timing(),
+		experiment: x, timing: timing(), entrySettings: entrySettings(),
 		random: rand.New(rand.NewPCG(uint64(seed), 0)), arrivals: rand.New(rand.NewPCG(uint64(seed), 1)),
 		links: map[uint64]*link{}, jobs: map[string]*job{},
 		waiters: map[scheduler.Waiter]*job{}, aliveRuns: map[taskKey]int{},
--- a/emulator/width_test.go
+++ b/emulator/width_test.go
@@ -40,3 +40,37 @@
 	is.Equal(a.weightAt(2*time.Second), 3.0)
 	is.Equal(a.weightAt(2*time.Second)+b.weightAt(2*time.Second), 4.0)
 }
+
+// TestReservationsServeLargeTasksOfSeveralEntries guards against large tasks that find
+// only fragments because the small tasks of other entries take what becomes free. With
+// reservations large and small jobs are served at least as well, and no endpoint gets more
+// than its capacity.
+func TestReservationsServeLargeTasksOfSeveralEntries(t *testing.T) {
+	x, err := Parse([]byte(`
+length: 8s
+seeds: [1]
+fleet:
+  entries: [{count: 3, cores: 0.8}]
+  agents: [{count: 12, cores: 26}]
+classes:
+  - {name: render, rate: 5.5, tasks: 2, max_tasks: 8, cores: 20, work: 400ms, estimate_error: 0.4, value: 0.04}
+  - {name: label, rate: 170, tasks: 2, max_tasks: 8, cores: 2.7, work: 170ms, estimate_error: 0.4, value: 0.00189}
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	before, after := Run(t.Context(), x, 1), RunReserving(t.Context(), x, 1)
+	for i, c := range after.Classes {
+		was := before.Classes[i]
+		t.Logf("%s: worth %.3f, without reservations %.3f", c.Name, c.Worth, was.Worth)
+		if c.Worth < was.Worth {
+			t.Errorf("%s: worth %.3f, without reservations %.3f", c.Name, c.Worth, was.Worth)
+		}
+	}
+	if after.Worth < before.Worth+0.01 {
+		t.Errorf("worth %.3f, without reservations %.3f", after.Worth, before.Worth)
+	}
+	if after.Overlaps+after.OverCapacity > 0 {
+		t.Errorf("%d overlaps, %d starts over capacity", after.Overlaps, after.OverCapacity)
+	}
+}
