Subcommand check-config: check an operator's configuration before it is sent

Cause: entries ignore a configuration that they can't decode or whose version is not higher, and serve no request with a queue that another one hides; operators learn that only from refusals.

--- a/command/command.go
+++ b/command/command.go
@@ -38,9 +38,12 @@
 	Config   configCommand   `cmd:"" help:"Read and change services."`
 	Owner    ownerCommand    `cmd:"" help:"List and remove the entries that own shards."`
 	Check    checkCommand    `cmd:"" help:"Check settings files."`
-	Keys     keysCommand     `cmd:"" help:"Make certificates for mutual TLS between processes."`
-	Top      topCommand      `cmd:"" help:"Show an entry live in the terminal."`
-	Version  versionCommand  `cmd:"" help:"Print the version."`
+
+	CheckConfig checkConfigCommand `cmd:"" help:"Check an operator's configuration of the users' platform."`
+
+	Keys    keysCommand    `cmd:"" help:"Make certificates for mutual TLS between processes."`
+	Top     topCommand     `cmd:"" help:"Show an entry live in the terminal."`
+	Version versionCommand `cmd:"" help:"Print the version."`
 
 	Completion completionCommand `cmd:"" help:"Print the line that switches on completion in your shell."`
 }
