Merge the other parts: evacuation, load sharing, fairness

`sharing_floor` is the parameter of the policy sharing and adds it to the default list; sharing without it is a fault of the experiment.

Tests: TestSwingMovesCallers checks the same of `waves` (TestWavesMoveCallers).

--- a/emulator/experiment.go
+++ b/emulator/experiment.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"fmt"
 	"os"
+	"slices"
 	"time"
 
 	"marjoramlug.example/marjoramlug/validation"
@@ -22,8 +23,20 @@
 	// Classes are the kinds of job; each is a queue of its own.
 	Classes []Class `yaml:"classes" validate:"required,min=1,dive"`
 	Faults  []Fault `yaml:"faults,omitempty" validate:"dive"`
-	// Policies are the policies to compare. Default: product and perfect.
-	Policies []string `yaml:"policies,omitempty" validate:"unique,dive,oneof=product reservations perfect"`
+	// Policies are the policies to compare: PolicyProduct and the others. Default: product
+	// and perfect and, if SharingFloor is set, sharing.
+	Policies []string `yaml:"policies,omitempty" validate:"unique,dive,oneof=product perfect reservations sharing"`
+	// SharingFloor is the setting sharing.floor of entries under the policy sharing.
+	SharingFloor float64 `yaml:"sharing_floor,omitempty" validate:"gte=0,lte=1"`
+	// Waves let the load of the zones oscillate, out of phase.
+	Waves Waves `yaml:"waves,omitempty"`
+}
+
+// Waves describe how the callers' share of each zone oscillates; the phases of the zones
+// are spread over the period.
+type Waves struct {
+	Amplitude float64       `yaml:"amplitude,omitempty" validate:"gte=0,lte=1"`
+	Period    time.Duration `yaml:"period,omitempty" validate:"gte=0,lte=600000000000"`
 }
 
 // Fleet describes entries, agents and the network between them.
@@ -35,6 +48,8 @@
 	Fanout int `yaml:"fanout,omitempty" validate:"gte=0,lte=1000"`
 	// Delay is the one-way delay between an entry and an agent. Default 1 ms.
 	Delay time.Duration `yaml:"delay,omitempty" validate:"gte=0,lte=1000000000"`
+	// LoadSharing lets entries forward jobs to each other.
+	LoadSharing bool `yaml:"load_sharing,omitempty"`
 }
 
 // EntryGroup is a number of entries of the same size.
@@ -45,11 +60,8 @@
 	// Weight is the share of the callers that one entry gets, relative to others.
 	// Default 1.
 	Weight float64 `yaml:"weight,omitempty" validate:"gte=0,lte=1000"`
-	// Swing is the amplitude of an oscillation of the weight, as a share of it, Period
-	// its period and Phase its phase as a share of the period. Period defaults to 15 s.
-	Swing  float64       `yaml:"swing,omitempty" validate:"gte=0,lte=1"`
-	Period time.Duration `yaml:"period,omitempty" validate:"gte=0,lte=600000000000"`
-	Phase  float64       `yaml:"phase,omitempty" validate:"gte=0,lte=1"`
+	// Zone is the availability zone of the entries.
+	Zone string `yaml:"zone,omitempty" validate:"max=64"`
 }
 
 // EndpointGroup is a number of agents with endpoints of the same kind.
@@ -67,6 +79,12 @@
 	// Rate is the number of jobs a second.
 	Rate   float64 `yaml:"rate" validate:"gt=0,lte=100000"`
 	Urgent bool    `yaml:"urgent,omitempty"`
+	// Priority is the priority of the queue among those that are not urgent, Callers the
+	// number of its callers. The first of them submits HotShare of the jobs, if set, and
+	// the others submit the rest in equal parts.
+	Priority int     `yaml:"priority,omitempty" validate:"gte=0,lte=7"`
+	Callers  int     `yaml:"callers,omitempty" validate:"gte=0,lte=100000"`
+	HotShare float64 `yaml:"hot_share,omitempty" validate:"gte=0,lte=1"`
 	// Tasks is the mean number of tasks, Cores what one task takes, Work its mean run
 	// time on an endpoint of slowness 1.
 	Tasks int           `yaml:"tasks" validate:"gt=0,lte=1900"`
@@ -92,9 +110,10 @@
 	At  time.Duration `yaml:"at" validate:"gte=0"`
 	For time.Duration `yaml:"for,omitempty" validate:"gte=0,lte=600000000000"`
 	// Kind is kill_entries, kill_agents, crash_endpoints, slow_endpoints,
-	// unanswered_calls, burst or deadly_jobs. A deadly job crashes each endpoint that
-	// starts its first task.
-	Kind string `yaml:"kind" validate:"required,oneof=kill_entries kill_agents crash_endpoints slow_endpoints unanswered_calls burst deadly_jobs"`
+	// unanswered_calls, burst, deadly_jobs or move_callers. A deadly job crashes each endpoint that
+	// starts its first task. move_callers moves a share of the callers of the other zones
+	// to one zone.
+	Kind string `yaml:"kind" validate:"required,oneof=kill_entries kill_agents crash_endpoints slow_endpoints unanswered_calls burst deadly_jobs move_callers"`
 	// Share is the share of the entries or agents that are struck, or of a class's
 	// jobs that are deadly. Default 1.
 	Share float64 `yaml:"share,omitempty" validate:"gte=0,lte=1"`
@@ -103,6 +122,8 @@
 	Factor float64 `yaml:"factor,omitempty" validate:"gte=0,lte=100"`
 	// Class is the class of a burst or of deadly jobs; all classes if empty.
 	Class string `yaml:"class,omitempty"`
+	// Zone is the zone that callers move to.
+	Zone string `yaml:"zone,omitempty"`
 }
 
 // Load reads an experiment from a YAML file and checks it.
@@ -134,13 +155,15 @@
 func (x *Experiment) setDefaults() {
 	if len(x.Policies) == 0 {
 		x.Policies = []string{PolicyProduct, PolicyPerfect}
+		if x.SharingFloor > 0 {
+			x.Policies = append(x.Policies, PolicySharing)
+		}
 	}
 	x.Fleet.Fanout = cmp.Or(x.Fleet.Fanout, agentSettings().Fanout)
 	x.Fleet.Delay = cmp.Or(x.Fleet.Delay, time.Millisecond)
 	for i := range x.Fleet.Entries {
 		g := &x.Fleet.Entries[i]
 		g.Weight = cmp.Or(g.Weight, 1)
-		g.Period = cmp.Or(g.Period, 15*time.Second)
 	}
 	for i := range x.Fleet.Agents {
 		g := &x.Fleet.Agents[i]
@@ -171,6 +194,11 @@
 // impossible returns the faults that concern several fields.
 func (x *Experiment) impossible() validation.Faults {
 	var faults validation.Faults
+	if x.SharingFloor == 0 && slices.Contains(x.Policies, PolicySharing) {
+		faults = append(faults, validation.Fault{
+			Path: "sharing_floor", Value: "0", Expected: "above 0 for the policy " + PolicySharing,
+		})
+	}
 	largest := 0.0
 	for _, g := range x.Fleet.Agents {
 		largest = max(largest, g.Cores)
--- a/emulator/nodes.go
+++ b/emulator/nodes.go
@@ -27,19 +27,20 @@
 	return t
 }
 
-func entrySettings() settings.PoolEntry {
-	s := settings.PoolEntry{Timing: timing()}
+// settings returns the entry's settings under the policy that is played.
+func (n *entryNode) settings() settings.PoolEntry {
+	x := n.sim.experiment
+	s := settings.PoolEntry{
+		Timing: timing(), LoadSharing: x.Fleet.LoadSharing, Reservations: n.sim.policy == PolicyReservations,
+	}
+	s.Zone = n.zone
+	if n.sim.policy == PolicySharing {
+		s.Sharing.Floor = x.SharingFloor
+	}
 	s.ApplyDefaults()
 	return s
 }
 
-// reservingSettings are those of entries that reserve endpoints for large tasks.
-func reservingSettings() settings.PoolEntry {
-	s := entrySettings()
-	s.Reservations = true
-	return s
-}
-
 func agentSettings() settings.PoolAgent {
 	s := settings.PoolAgent{Timing: timing()}
 	s.ApplyDefaults()
@@ -48,11 +49,12 @@
 
 // entryNode is an entry: its core and the events that wait for its processor.
 type entryNode struct {
-	sim   *simulation
-	name  string
-	cores float64
-	group *EntryGroup
-	core  *scheduler.Core
+	sim    *simulation
+	name   string
+	zone   string
+	cores  float64
+	weight float64
+	core   *scheduler.Core
 	// life numbers the incarnations of the process; alive is false between two.
 	life  uint64
 	alive bool
@@ -68,13 +70,14 @@
 func (n *entryNode) boot() {
 	n.life++
 	n.alive, n.inbox, n.planned = true, nil, false
-	n.core = scheduler.New(node.SchedulerOptions(n.sim.entrySettings))
+	n.core = scheduler.New(node.SchedulerOptions(n.settings()))
 	n.unreported = message.CompletedJobs{}
 	for _, other := range n.sim.entries {
 		if other != n && other.alive {
 			n.deliverLater(scheduler.CrashesShared{Notice: other.core.RecentCrashes()})
 		}
 	}
+	n.sim.connectPeers(n)
 }
 
 func (n *entryNode) deliver(ev scheduler.Event) {
@@ -129,10 +132,12 @@
 		n.sim.links[uint64(action.Session)].close()
 	case scheduler.Answer:
 		n.sim.answered(action)
+	case scheduler.SendForwardOrders, scheduler.SendForwardReport, scheduler.ForwardNote:
+		n.sim.forward(action)
 	case scheduler.ShareCrashes:
 		n.broadcast(scheduler.CrashesShared(action))
 	case scheduler.JobEnded:
-		if action.Outcome == scheduler.JobCompleted {
+		if action.Outcome == scheduler.JobCompleted && action.Host == "" {
 			n.jobCompleted(action)
 		}
 	}
@@ -152,6 +157,13 @@
 	}
 }
 
+// shareLoads tells the other entries the loads of the queues.
+func (n *entryNode) shareLoads() {
+	if loads := n.core.QueueLoads(); n.alive && len(loads) > 0 {
+		n.broadcast(scheduler.LoadsShared{Entry: n.name, Loads: loads})
+	}
+}
+
 // jobCompleted tells the other entries of a job, together with those that complete
 // within the interval.
 func (n *entryNode) jobCompleted(j scheduler.JobEnded) {
@@ -176,6 +188,7 @@
 	n.alive = false
 	n.life++
 	n.sim.entryDied(n)
+	n.sim.disconnectPeers(n)
 	n.sim.clock.after(down, func() {
 		n.boot()
 		n.sim.reconnect()
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -59,6 +59,13 @@
 	OverBudget int `json:"over_budget"`
 	// GivenUp counts sound jobs that were answered as failed.
 	GivenUp int `json:"given_up"`
+	// RefusedWhileFree counts jobs that were refused while endpoints had free capacity for
+	// all their tasks, Forwarded the jobs sent to other entries, ForwardedRun those that were
+	// run there, and PeerMessages the messages between entries about them.
+	RefusedWhileFree int `json:"refused_while_free"`
+	Forwarded        int `json:"forwarded"`
+	ForwardedRun     int `json:"forwarded_run"`
+	PeerMessages     int `json:"peer_messages"`
 	// Interrupted is set when the run was ended before its time.
 	Interrupted bool `json:"interrupted,omitempty"`
 }
@@ -89,6 +96,9 @@
 	Widest     WidthResult `json:"widest"`
 	NextWidest WidthResult `json:"next_widest"`
 	Others     WidthResult `json:"others"`
+	// FirstCaller holds the jobs of the class's first caller, OtherCallers those of the others.
+	FirstCaller  CallerResult `json:"first_caller"`
+	OtherCallers CallerResult `json:"other_callers"`
 }
 
 func newResult(x *Experiment, seed int64) *Result {
@@ -163,7 +173,7 @@
 		c.Worth = share(c.Worth, float64(c.Jobs))
 		c.RefusedAfter = share(c.RefusedAfter, float64(c.Refused))
 	}
-	r.rateWidths(s)
+	r.rateGroups(s)
 	for _, n := range s.entries {
 		r.BusiestEntry = max(r.BusiestEntry, share(float64(n.busy), float64(s.clock.now)))
 	}
--- a/emulator/runner.go
+++ b/emulator/runner.go
@@ -20,6 +20,8 @@
 	PolicyReservations = "reservations"
 	// PolicyPerfect is one queue with perfect knowledge.
 	PolicyPerfect = "perfect"
+	// PolicySharing is the product's own with capacity shared by the setting sharing.floor.
+	PolicySharing = "sharing"
 )
 
 // Report holds the results of an experiment, by policy and in the order of its seeds.
@@ -39,9 +41,6 @@
 // and calls progress after each. When ctx ends, it returns the runs that were played
 // to their end, with Report.Interrupted set.
 func RunAll(ctx context.Context, x *Experiment, parallel int, progress func(policy string, r *Result)) (*Report, error) {
-	play := map[string]func(context.Context, *Experiment, int64) *Result{
-		PolicyProduct: Run, PolicyReservations: RunReserving, PolicyPerfect: RunPerfect,
-	}
 	results := make([][]*Result, len(x.Policies))
 	var group errgroup.Group
 	group.SetLimit(max(parallel, 1))
@@ -50,7 +49,7 @@
 		results[p] = make([]*Result, len(x.Seeds))
 		for i, seed := range x.Seeds {
 			group.Go(func() error {
-				r := play[policy](ctx, x, seed)
+				r := RunPolicy(ctx, x, policy, seed)
 				results[p][i] = r
 				mu.Lock()
 				defer mu.Unlock()
@@ -116,6 +115,7 @@
 		}
 	}
 	r.writeWidths(table, x)
+	r.writeCallers(table, x)
 	// The errors of the lines above are kept by the writer and returned here.
 	return table.Flush()
 }
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"marjoramlug.example/marjoramlug/kernel"
 	"marjoramlug.example/marjoramlug/message"
 	"marjoramlug.example/marjoramlug/pool/executor"
 	"marjoramlug.example/marjoramlug/pool/node"
@@ -42,9 +43,9 @@
 type simulation struct {
 	experiment *Experiment
 	timing     settings.Timing
-	// entrySettings are the settings of all entries.
-	entrySettings settings.PoolEntry
-	clock         clock
+	// policy is the policy by which entries place tasks.
+	policy string
+	clock  clock
 	// random draws delays and faults, arrivals the jobs, so that the load of a seed
 	// does not depend on what becomes of it.
 	random, arrivals *rand.Rand
@@ -52,10 +53,14 @@
 	agents           []*agentNode
 	links            map[uint64]*link
 	sessions         uint64
-	jobs             map[string]*job
-	waiters          map[scheduler.Waiter]*job
-	lastWaiter       scheduler.Waiter
-	open             int
+	peerLinks        kernel.OrderedMap[scheduler.PeerSession, *peerLink]
+	// zones lists the entries' zones, moves the present moves of callers.
+	zones      []string
+	moves      []Fault
+	jobs       map[string]*job
+	waiters    map[scheduler.Waiter]*job
+	lastWaiter scheduler.Waiter
+	open       int
 	// aliveRuns counts the runs of each task that are alive.
 	aliveRuns map[taskKey]int
 	// rateFactor multiplies the rates of the classes during bursts.
@@ -71,7 +76,9 @@
 type job struct {
 	id    string
 	class int
-	need  message.Resources
+	// caller numbers the callers of the class.
+	caller int
+	need   message.Resources
 	// works holds the run time of each task on an endpoint of slowness 1.
 	works     []time.Duration
 	estimate  time.Duration
@@ -96,20 +103,19 @@
 	crashes, startsOverBudget int
 }
 
-// Run plays an experiment with one seed. It returns what was played when ctx ends
-// before the run does, with Result.Interrupted set.
+// Run plays an experiment with one seed under PolicyProduct. It returns what was played
+// when ctx ends before the run does, with Result.Interrupted set.
 func Run(ctx context.Context, x *Experiment, seed int64) *Result {
-	return runWith(ctx, x, seed, entrySettings())
+	return RunPolicy(ctx, x, PolicyProduct, seed)
 }
 
-// RunReserving is Run with entries that reserve endpoints for large tasks.
-func RunReserving(ctx context.Context, x *Experiment, seed int64) *Result {
-	return runWith(ctx, x, seed, reservingSettings())
-}
-
-func runWith(ctx context.Context, x *Experiment, seed int64, entries settings.PoolEntry) *Result {
+// RunPolicy is Run with one of the policies.
+func RunPolicy(ctx context.Context, x *Experiment, policy string, seed int64) *Result {
+	if policy == PolicyPerfect {
+		return RunPerfect(ctx, x, seed)
+	}
 	s := newSimulation(x, seed)
-	s.entrySettings = entries
+	s.policy = policy
 	s.buildFleet()
 	s.play(ctx)
 	return s.result
@@ -117,7 +123,7 @@
 
 func newSimulation(x *Experiment, seed int64) *simulation {
 	s := &simulation{
-		experiment: x, timing: timing(), entrySettings: entrySettings(),
+		experiment: x, timing: timing(),
 		random: rand.New(rand.NewPCG(uint64(seed), 0)), arrivals: rand.New(rand.NewPCG(uint64(seed), 1)),
 		links: map[uint64]*link{}, jobs: map[string]*job{},
 		waiters: map[scheduler.Waiter]*job{}, aliveRuns: map[taskKey]int{},
@@ -148,10 +154,12 @@
 
 func (s *simulation) buildFleet() {
 	var addresses []string
-	for i := range s.experiment.Fleet.Entries {
-		g := &s.experiment.Fleet.Entries[i]
+	for _, g := range s.experiment.Fleet.Entries {
 		for range g.Count {
-			n := &entryNode{sim: s, name: fmt.Sprintf("entry-%d", len(s.entries)), cores: g.Cores, group: g}
+			n := &entryNode{sim: s, name: fmt.Sprintf("entry-%d", len(s.entries)), zone: g.Zone, cores: g.Cores, weight: g.Weight}
+			if !slices.Contains(s.zones, g.Zone) {
+				s.zones = append(s.zones, g.Zone)
+			}
 			n.boot()
 			s.entries = append(s.entries, n)
 			addresses = append(addresses, n.name)
@@ -161,6 +169,7 @@
 	for _, n := range s.entries {
 		byName[n.name] = n
 		s.clock.every(node.EntryTick, func() { n.deliver(scheduler.Tick{}) })
+		s.clock.every(node.StateInterval, n.shareLoads)
 	}
 	for _, g := range s.experiment.Fleet.Agents {
 		for range g.Count {
@@ -230,12 +239,26 @@
 	j.objective = time.Duration(c.Stretch*float64(longest)) + c.Slack
 	j.deadline = j.sent + minDeadline + deadlineObjectives*j.objective
 	j.deadly = s.deadlyShare[class] > 0 && s.arrivals.Float64() < s.deadlyShare[class]
+	j.caller = s.drawCaller(c)
 	s.jobs[j.id] = j
 	s.open++
 	s.result.submitted(j)
 	return j
 }
 
+// drawCaller draws who submits a job of a class.
+func (s *simulation) drawCaller(c *Class) int {
+	switch {
+	case c.Callers < 2:
+		return 0
+	case c.HotShare == 0:
+		return s.arrivals.IntN(c.Callers)
+	case s.arrivals.Float64() < c.HotShare:
+		return 0
+	}
+	return 1 + s.arrivals.IntN(c.Callers-1)
+}
+
 // submit sends a job to a live entry, drawn by weight. Without one it is sent again
 // later.
 func (s *simulation) submit(j *job) {
@@ -258,6 +281,7 @@
 	s.waiters[j.waiter] = j
 	j.entry.deliver(scheduler.JobSubmitted{Waiter: j.waiter, Job: &scheduler.Job{
 		ID: j.id, Queue: c.Name, Service: service, Urgent: c.Urgent, Tasks: len(j.works), Need: j.need,
+		Priority: c.Priority, Caller: fmt.Sprintf("caller-%d", j.caller),
 		Estimate: j.estimate, Stretch: c.Stretch, Slack: c.Slack, Attempts: 3,
 		Deadline: j.deadline, ConnectedAt: s.clock.now, FirstRun: s.clock.now.Milliseconds() * runNumbersPerMilli,
 	}})
@@ -275,7 +299,7 @@
 	total := 0.0
 	for _, n := range s.entries {
 		if n.alive {
-			total += n.group.weightAt(s.clock.now)
+			total += s.weightNow(n)
 		}
 	}
 	at := s.random.Float64() * total
@@ -285,21 +309,13 @@
 			continue
 		}
 		drawn = n
-		if at -= n.group.weightAt(s.clock.now); at < 0 {
+		if at -= s.weightNow(n); at < 0 {
 			break
 		}
 	}
 	return drawn
 }
 
-// weightAt returns the weight of one entry of the group at a time.
-func (g *EntryGroup) weightAt(now time.Duration) float64 {
-	if g.Swing == 0 {
-		return g.Weight
-	}
-	return g.Weight * (1 + g.Swing*math.Sin(2*math.Pi*(now.Seconds()/g.Period.Seconds()+g.Phase)))
-}
-
 // answered ends a job, unless its caller has given up.
 func (s *simulation) answered(a scheduler.Answer) {
 	j := s.waiters[a.Waiter]
@@ -308,6 +324,9 @@
 	}
 	switch {
 	case a.Answer.Verdict == verdict.NotRun:
+		if s.refusedWhileFree(j) {
+			s.result.RefusedWhileFree++
+		}
 		s.finish(j, outcomeRefused)
 	case a.Answer.Failed:
 		if a.Answer.Reason == verdict.ReasonTaskFailed && !j.deadly {
--- a/emulator/width.go
+++ b/emulator/width.go
@@ -34,6 +34,12 @@
 	HighWait float64 `json:"high_wait_ms"`
 }
 
+// CallerResult is what became of the jobs of some of the callers of a class.
+type CallerResult struct {
+	Jobs   int     `json:"jobs"`
+	InTime float64 `json:"in_time"`
+}
+
 // taskStarted records the first start of a task.
 func (j *job) taskStarted(task int, now time.Duration) {
 	if j.unstarted[task] {
@@ -43,10 +49,10 @@
 	}
 }
 
-// rateWidths rates the jobs of each class by their number of tasks. Jobs of equal
-// width are divided in the order of their submission, so that the division is the
-// same for all policies.
-func (r *Result) rateWidths(s *simulation) {
+// rateGroups rates the jobs of each class by their number of tasks and by their caller.
+// Jobs of equal width are divided in the order of their submission, so that the division
+// is the same for all policies.
+func (r *Result) rateGroups(s *simulation) {
 	byClass := make([][]*job, len(r.Classes))
 	for i := range len(s.jobs) {
 		if j := s.jobs[fmt.Sprintf("job-%d", i)]; !j.deadly && j.done {
@@ -59,6 +65,7 @@
 		next := int((widestShare + nextWidestShare) * float64(len(jobs)))
 		c := &r.Classes[i]
 		c.Widest, c.NextWidest, c.Others = rateJobs(jobs[:widest]), rateJobs(jobs[widest:next]), rateJobs(jobs[next:])
+		c.FirstCaller, c.OtherCallers = rateCallers(jobs)
 	}
 }
 
@@ -89,6 +96,22 @@
 	return r
 }
 
+// rateCallers rates the jobs of the first caller and those of the others.
+func rateCallers(jobs []*job) (first, others CallerResult) {
+	for _, j := range jobs {
+		caller := &others
+		if j.caller == 0 {
+			caller = &first
+		}
+		caller.Jobs++
+		if j.outcome == outcomeInTime {
+			caller.InTime++
+		}
+	}
+	first.InTime, others.InTime = share(first.InTime, float64(first.Jobs)), share(others.InTime, float64(others.Jobs))
+	return first, others
+}
+
 // writeWidths writes a row for each policy, class and range of widths: means over the
 // seeds.
 func (r *Report) writeWidths(w io.Writer, x *Experiment) {
@@ -117,3 +140,17 @@
 		}
 	}
 }
+
+// writeCallers writes a row for each policy and class: the shares of jobs in time of the
+// first caller and of the others, as means over the seeds.
+func (r *Report) writeCallers(w io.Writer, x *Experiment) {
+	_, _ = fmt.Fprintln(w, "\t\t\t\t")
+	_, _ = fmt.Fprintln(w, "policy\tclass\tin time: first caller\tother callers\t")
+	for _, p := range r.Policies {
+		for c, class := range x.Classes {
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%.3f\t%.3f\t\n", p.Policy, class.Name,
+				IntervalOf(p.Results, func(r *Result) float64 { return r.Classes[c].FirstCaller.InTime }).Mean,
+				IntervalOf(p.Results, func(r *Result) float64 { return r.Classes[c].OtherCallers.InTime }).Mean)
+		}
+	}
+}
--- a/emulator/width_test.go
+++ b/emulator/width_test.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -30,15 +31,33 @@
 	is.Equal(j.lastStart, 2*time.Second)
 }
 
-// TestSwingMovesCallers guards against a swing that changes the total load or that
-// does not return to the mean.
-func TestSwingMovesCallers(t *testing.T) {
+// TestJobsAreDividedByWidth guards against groups that contain jobs narrower than those of
+// the next group, whatever the order in which the jobs were submitted.
+func TestJobsAreDividedByWidth(t *testing.T) {
 	is := is.New(t)
-	a := &EntryGroup{Weight: 2, Swing: 0.5, Period: 8 * time.Second}
-	b := &EntryGroup{Weight: 2, Swing: 0.5, Period: 8 * time.Second, Phase: 0.5}
-	is.Equal(a.weightAt(0), 2.0)
-	is.Equal(a.weightAt(2*time.Second), 3.0)
-	is.Equal(a.weightAt(2*time.Second)+b.weightAt(2*time.Second), 4.0)
+	s := &simulation{jobs: map[string]*job{}}
+	for i := range 20 {
+		tasks := 1 + i*7%20 // 1 to 20
+		s.jobs[fmt.Sprintf("job-%d", i)] = &job{works: make([]time.Duration, tasks), done: true}
+	}
+	r := &Result{Classes: make([]ClassResult, 1)}
+	r.rateGroups(s)
+	c := r.Classes[0]
+	is.Equal(c.Widest.Tasks, 19.5)     // 19 and 20
+	is.Equal(c.NextWidest.Tasks, 16.5) // 15 to 18
+	is.Equal(c.Others.Tasks, 7.5)      // 1 to 14
+}
+
+// TestWavesMoveCallers guards against waves that change the total load or that do not
+// return to the mean.
+func TestWavesMoveCallers(t *testing.T) {
+	is := is.New(t)
+	s := &simulation{experiment: &Experiment{Waves: Waves{Amplitude: 0.5, Period: 8 * time.Second}}, zones: []string{"a", "b"}}
+	a, b := &entryNode{zone: "a", weight: 2}, &entryNode{zone: "b", weight: 2}
+	is.Equal(s.weightNow(a), 2.0)
+	s.clock.now = 2 * time.Second
+	is.Equal(s.weightNow(a), 3.0)
+	is.Equal(s.weightNow(a)+s.weightNow(b), 4.0)
 }
 
 // TestReservationsServeLargeTasksOfSeveralEntries guards against large tasks that find
@@ -59,7 +78,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	before, after := Run(t.Context(), x, 1), RunReserving(t.Context(), x, 1)
+	before, after := Run(t.Context(), x, 1), RunPolicy(t.Context(), x, PolicyReservations, 1)
 	for i, c := range after.Classes {
 		was := before.Classes[i]
 		t.Logf("%s: worth %.3f, without reservations %.3f", c.Name, c.Worth, was.Worth)
--- a/pool/node/entry.go
+++ b/pool/node/entry.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"marjoramlug.example/marjoramlug/message"
+	"marjoramlug.example/marjoramlug/pool/evacuation"
 	"marjoramlug.example/marjoramlug/pool/scheduler"
+	"marjoramlug.example/marjoramlug/pool/subset"
 	"marjoramlug.example/marjoramlug/settings"
 	"marjoramlug.example/marjoramlug/telemetry"
 	"marjoramlug.example/marjoramlug/transport"
@@ -85,10 +87,16 @@
 
 // SchedulerOptions returns the options of an entry's core.
 func SchedulerOptions(s settings.PoolEntry) scheduler.Options {
+	loadSharingPeers := 0
+	if s.LoadSharing {
+		// In a smaller pool the peers have the same endpoints.
+		loadSharingPeers = subset.SmallPool
+	}
 	return scheduler.Options{
 		HeartbeatTimeout: s.Timing.HeartbeatTimeout, Lease: s.Timing.Lease, StopTime: s.Timing.StopTime,
 		ResubmitDelay: s.Timing.ResubmitDelay, MaxWaiting: s.MaxWaiting,
-		Reservations: s.Reservations,
+		LoadSharingPeers: loadSharingPeers, Zone: s.Zone,
+		SharingFloor: s.Sharing.Floor, Reservations: s.Reservations,
 	}
 }
 
@@ -119,7 +127,7 @@
 			e.step(ev)
 		case <-publish.C:
 			e.publish()
-			e.peers.broadcastState(e.core.WaitingJobs())
+			e.peers.broadcast(entryState(e.core))
 		}
 	}
 }
@@ -138,6 +146,12 @@
 // SetPeers replaces the addresses of the other entries.
 func (e *Entry) SetPeers(addresses []string) { e.peers.set(addresses) }
 
+// LearnEvacuation processes a state of the evacuated zones that was read from the operator's
+// history.
+func (e *Entry) LearnEvacuation(s evacuation.State) {
+	e.post(entryEvent{event: scheduler.EvacuationLearned{State: s, Source: "store"}})
+}
+
 // Ready reports whether at least one endpoint accepts tasks.
 func (e *Entry) Ready() bool { return e.ready.Load() }
 
@@ -234,13 +248,14 @@
 // Connected implements transport.Handler.
 func (e *Entry) Connected(c transport.Conn) {
 	if c.Peer().Role != message.RoleAgent {
-		e.peers.sendRecentCrashes(c)
+		e.peers.links.add(c)
+		e.peers.sendState(c)
 		return
 	}
 	id := e.sessions.add(c)
 	peer := c.Peer()
 	e.post(entryEvent{event: scheduler.AgentConnected{
-		Session: scheduler.Session(id), Agent: peer.Name, Incarnation: peer.Incarnation,
+		Session: scheduler.Session(id), Agent: peer.Name, Incarnation: peer.Incarnation, Zone: peer.Zone,
 	}})
 }
 
@@ -308,8 +323,18 @@
 		}
 	case scheduler.Disconnect:
 		e.sessions.close(uint64(action.Session))
+	case scheduler.SendForwardOrders:
+		e.peers.links.send(uint64(action.Peer), action.Orders)
+	case scheduler.SendForwardReport:
+		e.peers.links.send(uint64(action.Origin), action.Report)
+	case scheduler.ForwardNote:
+		e.noteForward(action)
 	case scheduler.ShareCrashes:
 		e.peers.broadcast(action.Notice)
+	case scheduler.ShareEvacuation:
+		e.peers.broadcast(entryState(e.core))
+	case scheduler.EvacuationProgressed:
+		logEvacuation(e.opts.Log, action.Progress)
 	case scheduler.CloseIdleConnections:
 		if e.opts.CloseIdleConnections != nil {
 			e.opts.CloseIdleConnections(action.OpenedBefore)
@@ -323,13 +348,19 @@
 }
 
 func (e *Entry) jobEnded(j scheduler.JobEnded) {
-	if j.Outcome == scheduler.JobCompleted {
+	if j.Outcome == scheduler.JobCompleted && j.Host == "" {
 		e.peers.jobCompleted(j)
 	}
 	outcome := j.Outcome.String()
-	e.opts.Metrics.Add("jobs."+outcome, 1)
-	e.opts.Metrics.Observe("job.time", j.Job.Queue, outcome, j.Age)
-	e.opts.Metrics.Observe("job.waited", j.Job.Queue, outcome, j.Waited)
+	if j.Origin == "" {
+		// Jobs of other entries are counted there.
+		e.opts.Metrics.Add("jobs."+outcome, 1)
+		e.opts.Metrics.Observe("job.time", j.Job.Queue, outcome, j.Age)
+		e.opts.Metrics.Observe("job.waited", j.Job.Queue, outcome, j.Waited)
+	}
+	if j.BeyondShare {
+		j.Cause += "; beyond the share of its queue or of caller " + j.Job.Caller
+	}
 	line := e.opts.Log.Failure
 	if j.Outcome == scheduler.JobCompleted && j.Age <= j.Objective {
 		line = e.opts.Log.Routine
@@ -340,6 +371,7 @@
 		Int64("waited_ms", j.Waited.Milliseconds()).Int64("objective_ms", j.Objective.Milliseconds()).
 		Int("runs", j.Runs).Int("failed", j.Failed).Int("lost", j.Lost).
 		Int("unplaced", j.Unplaced).Int("unended", j.Unended).
+		Str("host", j.Host).Str("origin", j.Origin).
 		Int("crashes", j.Crashes).Float64("blame", j.Blame).Int("tasks_waiting", j.WaitingTasks).Msg("")
 }
 
@@ -350,9 +382,16 @@
 	m.Set("runs.rescued", counters.StalledRuns)
 	m.Set("jobs.late", counters.Late)
 	m.Set("jobs.given_up", counters.GivenUp)
+	m.Set("jobs.beyond_share", counters.BeyondShare)
 	m.Set("endpoint.crashes", counters.Crashes)
 	m.Set("entry.stalls", counters.ProcessPauses)
 	m.Set("jobs.open", int64(e.core.OpenJobs()))
+	if s := e.core.Evacuation(); s != nil {
+		m.Set("evacuation.zones", int64(len(s.Zones)))
+		m.Set("evacuation.version", s.Version)
+	}
+	m.Set("evacuation.runs", int64(e.core.EvacuatedRuns()))
+	m.Set("evacuation.starts", counters.EvacuatedStarts)
 	if e.settings.Reservations {
 		reserved, givenUp := e.core.Reservations()
 		m.Set("reservations.endpoints", int64(reserved))
--- a/pool/node/peers.go
+++ b/pool/node/peers.go
@@ -29,6 +29,9 @@
 	entry  *Entry
 	dialer *dialer
 
+	// links numbers the dialled and the accepted connections.
+	links *sessions
+
 	mu    sync.Mutex
 	conns map[transport.Conn]bool
 	// waitingJobs holds the number of waiting jobs by entry and queue, as last
@@ -43,7 +46,7 @@
 
 func newPeers(e *Entry) *peers {
 	p := &peers{
-		entry: e, conns: map[transport.Conn]bool{}, waitingJobs: map[string]map[string]int{},
+		entry: e, links: newSessions(), conns: map[transport.Conn]bool{}, waitingJobs: map[string]map[string]int{},
 		pending: map[uint64]chan *message.JobSearchReply{},
 	}
 	p.dialer = newDialer(e.opts.Network, e.self, dialled{p})
@@ -58,17 +61,27 @@
 	d.peers.mu.Lock()
 	d.peers.conns[c] = true
 	d.peers.mu.Unlock()
-	d.peers.sendRecentCrashes(c)
+	d.peers.sendState(c)
+	d.peers.dialledPeer(c)
 }
 
 // Received implements transport.Handler.
-func (d dialled) Received(c transport.Conn, m message.Message) { d.peers.received(c, m) }
+func (d dialled) Received(c transport.Conn, m message.Message) {
+	if report, ok := m.(*message.ForwardReport); ok {
+		d.peers.reported(c, report)
+		return
+	}
+	d.peers.received(c, m)
+}
 
 // Disconnected implements transport.Handler.
 func (d dialled) Disconnected(c transport.Conn, _ error) {
 	d.peers.mu.Lock()
-	defer d.peers.mu.Unlock()
 	delete(d.peers.conns, c)
+	// The other entry's reports on its own connection bring the number again.
+	delete(d.peers.waitingJobs, c.Peer().Name)
+	d.peers.mu.Unlock()
+	d.peers.entry.post(entryEvent{event: scheduler.PeerDisconnected{Peer: scheduler.PeerSession(d.peers.links.remove(c))}})
 }
 
 func (p *peers) set(addresses []string) {
@@ -84,8 +97,9 @@
 // disconnected handles the end of a connection that another entry had opened.
 func (p *peers) disconnected(c transport.Conn) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	delete(p.waitingJobs, c.Peer().Name)
+	p.mu.Unlock()
+	p.entry.post(entryEvent{event: scheduler.OriginDisconnected{Origin: scheduler.PeerSession(p.links.remove(c))}})
 }
 
 func (p *peers) received(c transport.Conn, m message.Message) {
@@ -96,6 +110,14 @@
 		p.mu.Lock()
 		p.waitingJobs[c.Peer().Name] = m.Waiting
 		p.mu.Unlock()
+		if m.Evacuation != nil {
+			p.entry.post(entryEvent{event: scheduler.EvacuationLearned{State: *m.Evacuation, Source: c.Peer().Name}})
+		}
+		if len(m.Loads) > 0 && p.entry.settings.Sharing.Floor > 0 {
+			p.entry.post(entryEvent{event: scheduler.LoadsShared{Entry: c.Peer().Name, Loads: m.Loads}})
+		}
+	case *message.ForwardOrders:
+		p.forwardReceived(c, m)
 	case *message.CrashNotice:
 		p.entry.post(entryEvent{event: scheduler.CrashesShared{Notice: m}})
 	case *message.JobSearch:
@@ -113,12 +135,14 @@
 	}
 }
 
-// sendRecentCrashes tells an entry that may have just started what is known of crashes.
-func (p *peers) sendRecentCrashes(c transport.Conn) {
+// sendState tells an entry that may have just started what is known of evacuated zones
+// and of crashes.
+func (p *peers) sendState(c transport.Conn) {
 	p.entry.post(entryEvent{query: func(core *scheduler.Core) {
+		// A failed send is ignored: the heartbeat timeout closes the connection, and
+		// the next one begins with the state again.
+		_ = c.Send(entryState(core))
 		if notice := core.RecentCrashes(); len(notice.Crashes) > 0 {
-			// A failed send is ignored: the heartbeat timeout closes the connection, and
-			// the next one begins with the crashes again.
 			_ = c.Send(notice)
 		}
 	}})
@@ -209,8 +233,8 @@
 	return scheduler.JobsCompletedElsewhere{IDs: m.Jobs, BlamedQueues: m.BlamedQueues}
 }
 
-func (p *peers) broadcastState(waiting map[string]int) {
-	p.broadcast(&message.EntryState{Waiting: waiting})
+func entryState(core *scheduler.Core) *message.EntryState {
+	return &message.EntryState{Waiting: core.WaitingJobs(), Evacuation: core.Evacuation(), Loads: core.QueueLoads()}
 }
 
 // broadcast sends a message to all other entries. A connection that fails to send
--- a/pool/scheduler/event.go
+++ b/pool/scheduler/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"marjoramlug.example/marjoramlug/message"
+	"marjoramlug.example/marjoramlug/pool/evacuation"
 )
 
 // Session identifies a connection to an agent; numbers are never reused.
@@ -21,10 +22,15 @@
 	Queue   string
 	Service string
 	// Urgent jobs start before all others.
-	Urgent  bool
-	Payload string
-	Tasks   int
-	Need    message.Resources
+	Urgent bool
+	// Priority is the priority of the queue, lower ones first, and Caller identifies who
+	// submitted the job. They count only with Options.SharingFloor; Urgent stands for
+	// priority 0.
+	Priority int
+	Caller   string
+	Payload  string
+	Tasks    int
+	Need     message.Resources
 	// Estimate is the caller's rough estimate of a task's run time.
 	Estimate time.Duration
 	// Label is the label that an endpoint must have; empty if any endpoint will
@@ -74,11 +80,19 @@
 // CrashesShared is sent when another entry shares what it knows of crashes.
 type CrashesShared struct{ Notice *message.CrashNotice }
 
+// LoadsShared is sent when another entry shares the loads of its queues.
+type LoadsShared struct {
+	Entry string
+	Loads map[string]message.QueueLoad
+}
+
 // AgentConnected opens a session.
 type AgentConnected struct {
 	Session     Session
 	Agent       string
 	Incarnation uint64
+	// Zone is the agent's availability zone, for endpoints that report none.
+	Zone string
 }
 
 // AgentDisconnected closes a session.
@@ -90,6 +104,13 @@
 	Report  *message.RunReport
 }
 
+// EvacuationLearned is a state of the evacuated zones, read from the operator's history or
+// received from another entry, which Source names.
+type EvacuationLearned struct {
+	State  evacuation.State
+	Source string
+}
+
 // StopRequested stops the entry: open jobs are interrupted, new ones refused.
 type StopRequested struct{}
 
@@ -101,9 +122,11 @@
 func (CancelRequested) event()        {}
 func (JobsCompletedElsewhere) event() {}
 func (CrashesShared) event()          {}
+func (LoadsShared) event()            {}
 func (AgentConnected) event()         {}
 func (AgentDisconnected) event()      {}
 func (AgentReported) event()          {}
+func (EvacuationLearned) event()      {}
 func (StopRequested) event()          {}
 func (Tick) event()                   {}
 
@@ -130,6 +153,12 @@
 // ShareCrashes sends what is new about crashes to the other entries.
 type ShareCrashes struct{ Notice *message.CrashNotice }
 
+// ShareEvacuation sends a new state of the evacuated zones to the other entries.
+type ShareEvacuation struct{ State evacuation.State }
+
+// EvacuationProgressed reports, for the log, a phase of the evacuation of a zone.
+type EvacuationProgressed struct{ Progress evacuation.Progress }
+
 // CloseIdleConnections closes the connections of callers that are opened before the given
 // time since boot, a little ahead: those without a request then, and the others after
 // their answer.
@@ -157,8 +186,12 @@
 	Blame   float64
 	// QueueBlamed is set if crashes are blamed on the job's queue.
 	QueueBlamed bool
+	// BeyondShare is set if the job was refused beyond the share of its queue or caller.
+	BeyondShare bool
 	// WaitingTasks is the number of waiting tasks of all jobs at that moment.
 	WaitingTasks int
+	// Host is the entry that the job was forwarded to, Origin the one that it came from.
+	Host, Origin string
 }
 
 // Note reports a change in the entry's view of agents and endpoints, or a pause
@@ -174,6 +207,8 @@
 func (Answer) action()               {}
 func (Disconnect) action()           {}
 func (ShareCrashes) action()         {}
+func (ShareEvacuation) action()      {}
+func (EvacuationProgressed) action() {}
 func (CloseIdleConnections) action() {}
 func (JobEnded) action()             {}
 func (Note) action()                 {}
--- a/pool/scheduler/queue.go
+++ b/pool/scheduler/queue.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"marjoramlug.example/marjoramlug/pool/fairness"
 )
 
 const (
@@ -41,6 +43,12 @@
 	// deadly is set while the queue's jobs crash so many endpoints that they are
 	// confined to a part of them.
 	deadly bool
+	// share is the queue's load, backlog its waiting work, with Options.SharingFloor.
+	share   *fairness.Queue
+	backlog fairness.Backlog
+	// limitNoted is the state of the queue's limit that was last logged, at limitNotedAt.
+	limitNoted   bool
+	limitNotedAt time.Duration
 }
 
 // fleet holds the statistics of all agents together.
@@ -55,7 +63,7 @@
 func (f *fleet) learn(agents []*agent) {
 	var values []float64
 	for _, a := range agents {
-		if a.isReady() {
+		if a.isReady() && !a.cold.active {
 			values = append(values, a.logSlowness)
 		}
 	}
--- a/pool/scheduler/reservation.go
+++ b/pool/scheduler/reservation.go
@@ -49,7 +49,8 @@
 	return c.reservations.book.Len(), c.reservations.book.Expired
 }
 
-// renewReservations reserves endpoints for the candidates whose tasks fit nowhere.
+// renewReservations reserves endpoints for the candidates whose tasks fit nowhere. Jobs
+// that were forwarded to another entry have no waiting tasks and are not among them.
 func (c *Core) renewReservations(candidates []*job) {
 	r := c.reservations
 	if r == nil {
@@ -112,7 +113,7 @@
 }
 
 // endpointsToReserve returns what is known of the endpoints, by the index of their agent.
-// Those that take no tasks have no capacity.
+// Those that take no tasks, as in evacuated zones, have no capacity.
 func (c *Core) endpointsToReserve() []reservation.Endpoint {
 	list := make([]reservation.Endpoint, len(c.agentList))
 	sum, runs := 0.0, 0.0
--- a/pool/scheduler/reservation_test.go
+++ b/pool/scheduler/reservation_test.go
@@ -161,3 +161,42 @@
 		}
 	}
 }
+
+// TestEvacuatedEndpointsAreNotReserved guards against a large task that waits for an
+// endpoint of an evacuated zone, and against an agent there that is asked to hold capacity.
+func TestEvacuatedEndpointsAreNotReserved(t *testing.T) {
+	sim, i := reserve(t)
+	for k := range sim.agents {
+		sim.describe(k, 0)
+	}
+	sim.evacuate(1, []string{"even", "odd"}[i%2])
+	if sim.core.reservations.book.Len() == 0 {
+		t.Error("no endpoint of the other zone is reserved")
+	}
+	for k, a := range sim.core.agentList {
+		if k%2 != i%2 {
+			continue
+		}
+		if sim.core.reservations.book.At(k) != nil || sim.core.demandFor(a).Hold {
+			t.Errorf("endpoint %d of the evacuated zone is reserved", k)
+		}
+	}
+}
+
+// TestForwardedJobsReserveNothing guards against endpoints that are kept for a job that
+// another entry runs, from the step in which it is forwarded.
+func TestForwardedJobsReserveNothing(t *testing.T) {
+	sim, i := reserve(t)
+	for _, j := range sim.core.jobOrder {
+		if j.Queue == render.queue {
+			sim.core.forwardTo(j, &peer{}, "")
+		}
+	}
+	if sim.core.demandFor(sim.core.agentList[i]).Hold {
+		t.Error("an agent is asked to hold capacity for a job that is away")
+	}
+	sim.apply(Tick{})
+	if n := sim.core.reservations.book.Len(); n > 0 {
+		t.Errorf("%d endpoints are reserved for a job that is away", n)
+	}
+}
--- a/pool/scheduler/simulation_test.go
+++ b/pool/scheduler/simulation_test.go
@@ -33,8 +33,16 @@
 	hangs map[string]bool
 	// pauses counts the pauses of agents.
 	pauses int
+	// noted, if set, receives the notes.
+	noted func(Note)
+	// caller is Job.Caller of submitted jobs.
+	caller string
 	// shared holds the notices of crashes to other entries.
 	shared []*message.CrashNotice
+	// forward, if set, gets the actions that concern other entries.
+	forward func(Action)
+	// runTimes holds the run times of jobs of other entries.
+	runTimes map[string]time.Duration
 }
 
 type testAgent struct {
@@ -74,22 +82,27 @@
 
 func newSimulation(t *testing.T, agents int, capacity int64) *simulation {
 	sim := &simulation{
-		t: t, random: rand.New(rand.NewPCG(1, 2)), jobs: map[Waiter]*testJob{}, hangs: map[string]bool{}, now: time.Second,
+		t: t, random: rand.New(rand.NewPCG(1, 2)), jobs: map[Waiter]*testJob{}, hangs: map[string]bool{}, now: time.Second, runTimes: map[string]time.Duration{},
 		core: New(Options{
 			HeartbeatTimeout: time.Hour, Lease: time.Second, StopTime: 50 * time.Millisecond, ResubmitDelay: time.Hour, MaxWaiting: 5000,
 		}),
 	}
-	for i := range agents {
-		a := &testAgent{name: fmt.Sprint("agent-", i), capacity: capacity, slowFactor: 1, running: map[message.RunRef]*testRun{}}
-		sim.agents = append(sim.agents, a)
-		sim.apply(AgentConnected{Session: Session(i + 1), Agent: a.name, Incarnation: 1})
-		sim.report(i, &message.RunReport{Endpoint: &message.PoolEndpoint{
-			Name: a.name, Service: "s", Capacity: message.Resources{MilliCPU: capacity}, Ready: true,
-		}})
+	for range agents {
+		sim.addAgent(capacity)
 	}
 	return sim
 }
 
+func (sim *simulation) addAgent(capacity int64) {
+	i := len(sim.agents)
+	a := &testAgent{name: fmt.Sprint("agent-", i), capacity: capacity, slowFactor: 1, running: map[message.RunRef]*testRun{}}
+	sim.agents = append(sim.agents, a)
+	sim.apply(AgentConnected{Session: Session(i + 1), Agent: a.name, Incarnation: 1})
+	sim.report(i, &message.RunReport{Endpoint: &message.PoolEndpoint{
+		Name: a.name, Service: "s", Capacity: message.Resources{MilliCPU: capacity}, Ready: true,
+	}})
+}
+
 func (sim *simulation) apply(events ...Event) {
 	for _, action := range sim.core.Step(sim.now, events...) {
 		switch action := action.(type) {
@@ -105,9 +118,14 @@
 		case ShareCrashes:
 			sim.shared = append(sim.shared, action.Notice)
 		case Note:
+			if sim.noted != nil {
+				sim.noted(action)
+			}
 			if action.What == "agent paused" {
 				sim.pauses++
 			}
+		case SendForwardOrders, SendForwardReport, ForwardNote:
+			sim.forward(action)
 		}
 	}
 }
@@ -144,6 +162,9 @@
 			return j.runTime
 		}
 	}
+	if took := sim.runTimes[id]; took > 0 {
+		return took
+	}
 	return time.Second
 }
 
@@ -227,7 +248,7 @@
 func (sim *simulation) submitExactly(k jobKind, runTime, estimate time.Duration) *testJob {
 	sim.lastWaiter++
 	j := &testJob{sent: sim.now, runTime: runTime, Job: &Job{
-		ID: fmt.Sprint(k.queue, "-", sim.lastWaiter), Queue: k.queue, Service: "s", Urgent: k.urgent, Tasks: k.tasks,
+		ID: fmt.Sprint(k.queue, "-", sim.lastWaiter), Queue: k.queue, Caller: sim.caller, Service: "s", Urgent: k.urgent, Tasks: k.tasks,
 		Need:     message.Resources{MilliCPU: cmp.Or(k.need, 6200)},
 		Estimate: estimate,
 		Stretch:  1.6, Slack: 60 * time.Millisecond, Attempts: 3, Deadline: sim.now + 8*time.Second, FirstRun: 1,
--- a/pool/scheduler/speed.go
+++ b/pool/scheduler/speed.go
@@ -38,21 +38,28 @@
 // the learned factors applied to the estimate, limited by the reported slowdown
 // of the agent's current runs.
 func (c *Core) runTime(j *job, a *agent) float64 {
+	return float64(j.Estimate) * c.runTimeFactor(j.queue.bias(), a)
+}
+
+// runTimeFactor returns what an estimate is multiplied by, for a queue's bias and an agent.
+func (c *Core) runTimeFactor(bias float64, a *agent) float64 {
 	slowness := a.slowness()
-	if c.probeDue(a) {
+	if assumed := a.cold.assumedSlowness(a); assumed > 0 {
+		slowness = assumed
+	} else if c.probeDue(a) {
 		slowness = c.fleet.medianSlowness
 	}
-	factor := j.queue.bias() * slowness * max(1, a.overrun)
+	factor := bias * slowness * max(1, a.overrun)
 	if a.slowdown > 0 && c.now-a.slowdownAt < slowdownValidity {
 		factor = min(max(factor, a.slowdown/maxSlowdownDeviation), a.slowdown*maxSlowdownDeviation)
 	}
-	return float64(j.Estimate) * factor
+	return factor
 }
 
 // probeDue reports whether an endpoint that counts as slow should get one task as
 // if it were not: it runs nothing, so that nothing else would show its recovery.
 func (c *Core) probeDue(a *agent) bool {
-	return a.slowness() > probedSlowness*c.fleet.medianSlowness && a.runs.Len() == 0 && c.now-a.speedKnownAt > probeInterval
+	return !a.cold.active && a.slowness() > probedSlowness*c.fleet.medianSlowness && a.runs.Len() == 0 && c.now-a.speedKnownAt > probeInterval
 }
 
 // limitSlowness keeps the learned slowness within a factor of an observed one.
@@ -87,7 +94,11 @@
 	r.job.queue.learn(ratio)
 	residual := math.Log(ratio) - r.job.queue.logBias
 	residual = min(max(residual, -maxLogRatio), maxLogRatio)
-	r.agent.logSlowness += slownessWeight * (residual - r.agent.logSlowness)
+	weight := slownessWeight
+	if r.agent.cold.takeFirstMeasurement(r) {
+		weight = 1
+	}
+	r.agent.logSlowness += weight * (residual - r.agent.logSlowness)
 	r.agent.limitSlowness(math.Exp(residual), maxRunDeviation)
 	r.agent.speedKnownAt = c.now
 }
--- a/settings/pool.go
+++ b/settings/pool.go
@@ -21,11 +21,26 @@
 	// MaxWaiting bounds the queued tasks. Default 5000: ten seconds of work of
 	// the largest entry in use.
 	MaxWaiting int `yaml:"max_waiting,omitempty" validate:"gte=0"`
+	// LoadSharing forwards jobs that this entry would refuse or answer late to entries with
+	// free endpoints, and accepts such jobs from them. It has no effect in pools of up to
+	// five entries, where all entries have the same endpoints. Default false.
+	LoadSharing bool `yaml:"load_sharing,omitempty"`
+	// Sharing divides an entry's capacity between priorities, queues and callers.
+	Sharing Sharing `yaml:"sharing,omitempty"`
 	// Reservations lets large tasks that fit nowhere reserve endpoints; see
 	// docs/design/reservations.md. Default false.
 	Reservations bool `yaml:"reservations,omitempty"`
 }
 
+// Sharing is the setting by which entries share capacity. It should be the same at all
+// entries.
+type Sharing struct {
+	// Floor is the part of its max-min fair share that each queue is guaranteed, however much
+	// is offered with a lower priority number. 0, the default, orders queues by their load
+	// alone.
+	Floor float64 `yaml:"floor,omitempty" validate:"gte=0,lte=1"`
+}
+
 // PoolAgent is the settings of an agent of a pool.
 type PoolAgent struct {
 	Identity `yaml:",inline"`
@@ -42,6 +57,16 @@
 	// gets tasks when any two of these entries fail at once. More connections
 	// would cost the smallest entries CPU time that they need for bursts.
 	Fanout int `yaml:"fanout,omitempty" validate:"gte=0"`
+	// Evacuation is set where the operator evacuates availability zones: the agent follows
+	// the requests itself and takes no tasks before it knows them.
+	Evacuation *Evacuation `yaml:"evacuation,omitempty"`
+}
+
+// Evacuation holds how the evacuation of an availability zone is followed.
+type Evacuation struct {
+	// Within is the time after a request from which on no task may start in its zone. At
+	// least 1s: a dead connection to the store must be replaced within it.
+	Within time.Duration `yaml:"within" validate:"required,gte=1s"`
 }
 
 // Store locates the platform's store.
