--- a/emulator/experiment.go
+++ b/emulator/experiment.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"fmt"
 	"os"
+	"slices"
 	"time"
 
 	"marjoramlug.example/marjoramlug/validation"
@@ -22,11 +23,13 @@
 	// Classes are the kinds of job; each is a queue of its own.
 	Classes []Class `yaml:"classes" validate:"required,min=1,dive"`
 	Faults  []Fault `yaml:"faults,omitempty" validate:"dive"`
+	// Policies are the policies to compare: PolicyProduct and the others. Default: product
+	// and perfect and, if SharingFloor is set, sharing.
+	Policies []string `yaml:"policies,omitempty" validate:"unique,dive,oneof=product perfect reservations sharing"`
+	// SharingFloor is the setting sharing.floor of entries under the policy sharing.
+	SharingFloor float64 `yaml:"sharing_floor,omitempty" validate:"gte=0,lte=1"`
 	// Waves let the load of the zones oscillate, out of phase.
 	Waves Waves `yaml:"waves,omitempty"`
-	// SharingFloor, if above 0, also plays the product's policy with the setting
-	// sharing.floor of entries.
-	SharingFloor float64 `yaml:"sharing_floor,omitempty" validate:"gte=0,lte=1"`
 }
 
 // Waves describe how the callers' share of each zone oscillates; the phases of the zones
@@ -87,6 +90,8 @@
 	Tasks int           `yaml:"tasks" validate:"gt=0,lte=1900"`
 	Cores float64       `yaml:"cores" validate:"gt=0,lte=1024"`
 	Work  time.Duration `yaml:"work" validate:"gt=0,lte=60000000000"`
+	// MaxTasks bounds the number of tasks; 0 sets no bound.
+	MaxTasks int `yaml:"max_tasks,omitempty" validate:"gte=0,lte=1900"`
 	// Spread is the standard deviation of the logarithm of run times, EstimateError
 	// the same of the callers' estimates. Defaults 0.4 and 0.3.
 	Spread        float64 `yaml:"spread,omitempty" validate:"gte=0,lte=2"`
@@ -148,6 +153,12 @@
 }
 
 func (x *Experiment) setDefaults() {
+	if len(x.Policies) == 0 {
+		x.Policies = []string{PolicyProduct, PolicyPerfect}
+		if x.SharingFloor > 0 {
+			x.Policies = append(x.Policies, PolicySharing)
+		}
+	}
 	x.Fleet.Fanout = cmp.Or(x.Fleet.Fanout, agentSettings().Fanout)
 	x.Fleet.Delay = cmp.Or(x.Fleet.Delay, time.Millisecond)
 	for i := range x.Fleet.Entries {
@@ -183,6 +194,11 @@
 // impossible returns the faults that concern several fields.
 func (x *Experiment) impossible() validation.Faults {
 	var faults validation.Faults
+	if x.SharingFloor == 0 && slices.Contains(x.Policies, PolicySharing) {
+		faults = append(faults, validation.Fault{
+			Path: "sharing_floor", Value: "0", Expected: "above 0 for the policy " + PolicySharing,
+		})
+	}
 	largest := 0.0
 	for _, g := range x.Fleet.Agents {
 		largest = max(largest, g.Cores)
--- a/emulator/nodes.go
+++ b/emulator/nodes.go
@@ -27,9 +27,16 @@
 	return t
 }
 
+// settings returns the entry's settings under the policy that is played.
 func (n *entryNode) settings() settings.PoolEntry {
-	s := settings.PoolEntry{Timing: timing(), LoadSharing: n.sim.experiment.Fleet.LoadSharing}
+	x := n.sim.experiment
+	s := settings.PoolEntry{
+		Timing: timing(), LoadSharing: x.Fleet.LoadSharing, Reservations: n.sim.policy == PolicyReservations,
+	}
 	s.Zone = n.zone
+	if n.sim.policy == PolicySharing {
+		s.Sharing.Floor = x.SharingFloor
+	}
 	s.ApplyDefaults()
 	return s
 }
@@ -63,9 +70,7 @@
 func (n *entryNode) boot() {
 	n.life++
 	n.alive, n.inbox, n.planned = true, nil, false
-	s := n.settings()
-	s.Sharing.Floor = n.sim.sharingFloor
-	n.core = scheduler.New(node.SchedulerOptions(s))
+	n.core = scheduler.New(node.SchedulerOptions(n.settings()))
 	n.unreported = message.CompletedJobs{}
 	for _, other := range n.sim.entries {
 		if other != n && other.alive {
--- a/emulator/runner.go
+++ b/emulator/runner.go
@@ -16,6 +16,8 @@
 const (
 	// PolicyProduct is the product's own: the cores of entries and agents.
 	PolicyProduct = "product"
+	// PolicyReservations is PolicyProduct with the setting reservations.
+	PolicyReservations = "reservations"
 	// PolicyPerfect is one queue with perfect knowledge.
 	PolicyPerfect = "perfect"
 	// PolicySharing is the product's own with capacity shared by the setting sharing.floor.
@@ -39,27 +41,19 @@
 // and calls progress after each. When ctx ends, it returns the runs that were played
 // to their end, with Report.Interrupted set.
 func RunAll(ctx context.Context, x *Experiment, parallel int, progress func(policy string, r *Result)) (*Report, error) {
-	type policy struct {
-		name string
-		run  func(context.Context, *Experiment, int64) *Result
-	}
-	policies := []policy{{PolicyProduct, Run}, {PolicyPerfect, RunPerfect}}
-	if x.SharingFloor > 0 {
-		policies = append(policies, policy{PolicySharing, RunSharing})
-	}
-	results := make([][]*Result, len(policies))
+	results := make([][]*Result, len(x.Policies))
 	var group errgroup.Group
 	group.SetLimit(max(parallel, 1))
 	var mu sync.Mutex // serializes progress
-	for p, policy := range policies {
+	for p, policy := range x.Policies {
 		results[p] = make([]*Result, len(x.Seeds))
 		for i, seed := range x.Seeds {
 			group.Go(func() error {
-				r := policy.run(ctx, x, seed)
+				r := RunPolicy(ctx, x, policy, seed)
 				results[p][i] = r
 				mu.Lock()
 				defer mu.Unlock()
-				progress(policy.name, r)
+				progress(policy, r)
 				return nil
 			})
 		}
@@ -67,8 +61,8 @@
 	// The runs return no errors.
 	_ = group.Wait()
 	report := &Report{Interrupted: ctx.Err() != nil}
-	for p, policy := range policies {
-		list := PolicyResults{Policy: policy.name}
+	for p, policy := range x.Policies {
+		list := PolicyResults{Policy: policy}
 		for _, r := range results[p] {
 			if r.Interrupted {
 				continue
@@ -76,7 +70,7 @@
 			list.Results = append(list.Results, r)
 			if r.Overlaps+r.OverCapacity+r.OverBudget > 0 {
 				return report, fmt.Errorf("policy %s, seed %d: %d overlapping runs, %d starts over capacity, %d over the budget of crashes",
-					policy.name, r.Seed, r.Overlaps, r.OverCapacity, r.OverBudget)
+					policy, r.Seed, r.Overlaps, r.OverCapacity, r.OverBudget)
 			}
 		}
 		report.Policies = append(report.Policies, list)
@@ -120,26 +114,12 @@
 				IntervalOf(p.Results, func(r *Result) float64 { return r.Classes[c].RefusedAfter }).Mean)
 		}
 	}
-	r.writeShares(table, x)
+	r.writeWidths(table, x)
+	r.writeCallers(table, x)
 	// The errors of the lines above are kept by the writer and returned here.
 	return table.Flush()
 }
 
-// writeShares writes the shares of jobs in time by width and by caller.
-func (r *Report) writeShares(table io.Writer, x *Experiment) {
-	_, _ = fmt.Fprintln(table, "\t\t\t\t\t\t\t")
-	_, _ = fmt.Fprintln(table, "policy\tclass\tin time: widest tenth\tnext fifth\tother widths\tfirst caller\tother callers\t")
-	for _, p := range r.Policies {
-		for c, class := range x.Classes {
-			_, _ = fmt.Fprintf(table, "%s\t%s", p.Policy, class.Name)
-			for group := range jobGroups {
-				_, _ = fmt.Fprintf(table, "\t%.3f", IntervalOf(p.Results, func(r *Result) float64 { return r.Classes[c].InTimeBy[group] }).Mean)
-			}
-			_, _ = fmt.Fprint(table, "\t\n")
-		}
-	}
-}
-
 // WriteCSV writes a row for each run and window: policy, seed, the window's start in
 // seconds, jobs and worth.
 func (r *Report) WriteCSV(w io.Writer) error {
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -43,7 +43,9 @@
 type simulation struct {
 	experiment *Experiment
 	timing     settings.Timing
-	clock      clock
+	// policy is the policy by which entries place tasks.
+	policy string
+	clock  clock
 	// random draws delays and faults, arrivals the jobs, so that the load of a seed
 	// does not depend on what becomes of it.
 	random, arrivals *rand.Rand
@@ -68,8 +70,6 @@
 	// perfect replaces entries and agents in runs with perfect knowledge.
 	perfect *perfectQueue
 	result  *Result
-	// sharingFloor is the setting of entries.
-	sharingFloor float64
 }
 
 // job is a caller's job.
@@ -89,6 +89,13 @@
 	entry  *entryNode
 	waiter scheduler.Waiter
 	done   bool
+	// outcome is set once the job is done.
+	outcome outcome
+	// unstarted marks the tasks that have never started, started counts the others;
+	// lastStart is the time of the last first start of a task.
+	unstarted []bool
+	started   int
+	lastStart time.Duration
 	// deadly is set if the first task crashes each endpoint that starts it; crashes
 	// counts these, startsOverBudget the task's starts after as many as the budget
 	// allows.
@@ -96,20 +103,19 @@
 	crashes, startsOverBudget int
 }
 
-// Run plays an experiment with one seed. It returns what was played when ctx ends
-// before the run does, with Result.Interrupted set.
+// Run plays an experiment with one seed under PolicyProduct. It returns what was played
+// when ctx ends before the run does, with Result.Interrupted set.
 func Run(ctx context.Context, x *Experiment, seed int64) *Result {
-	s := newSimulation(x, seed)
-	s.buildFleet()
-	s.play(ctx)
-	return s.result
+	return RunPolicy(ctx, x, PolicyProduct, seed)
 }
 
-// RunSharing plays an experiment with one seed, with entries that share capacity as
-// Experiment.SharingFloor says.
-func RunSharing(ctx context.Context, x *Experiment, seed int64) *Result {
+// RunPolicy is Run with one of the policies.
+func RunPolicy(ctx context.Context, x *Experiment, policy string, seed int64) *Result {
+	if policy == PolicyPerfect {
+		return RunPerfect(ctx, x, seed)
+	}
 	s := newSimulation(x, seed)
-	s.sharingFloor = x.SharingFloor
+	s.policy = policy
 	s.buildFleet()
 	s.play(ctx)
 	return s.result
@@ -213,14 +219,19 @@
 func (s *simulation) newJob(class int) *job {
 	c := &s.experiment.Classes[class]
 	tasks := max(1, int(math.Round(float64(c.Tasks)*s.logNormal(widthSpread))))
+	if c.MaxTasks > 0 {
+		tasks = min(tasks, c.MaxTasks)
+	}
 	work := float64(c.Work) * s.logNormal(c.Spread)
 	j := &job{
 		id: fmt.Sprintf("job-%d", len(s.jobs)), class: class, sent: s.clock.now,
 		need:     message.Resources{MilliCPU: int64(c.Cores * milliCPU)},
 		estimate: max(time.Duration(work*s.logNormal(c.EstimateError)), time.Millisecond),
 	}
+	j.unstarted = make([]bool, tasks)
 	longest := time.Duration(0)
-	for range tasks {
+	for i := range tasks {
+		j.unstarted[i] = true
 		t := max(time.Duration(work*s.logNormal(unevenness)), time.Millisecond)
 		j.works = append(j.works, t)
 		longest = max(longest, t)
@@ -342,7 +353,7 @@
 	if j.done {
 		return
 	}
-	j.done = true
+	j.done, j.outcome = true, o
 	delete(s.waiters, j.waiter)
 	s.open--
 	s.result.ended(s, j, o)
--- a/pool/node/entry.go
+++ b/pool/node/entry.go
@@ -96,7 +96,7 @@
 		HeartbeatTimeout: s.Timing.HeartbeatTimeout, Lease: s.Timing.Lease, StopTime: s.Timing.StopTime,
 		ResubmitDelay: s.Timing.ResubmitDelay, MaxWaiting: s.MaxWaiting,
 		LoadSharingPeers: loadSharingPeers, Zone: s.Zone,
-		SharingFloor: s.Sharing.Floor,
+		SharingFloor: s.Sharing.Floor, Reservations: s.Reservations,
 	}
 }
 
@@ -392,6 +392,11 @@
 	}
 	m.Set("evacuation.runs", int64(e.core.EvacuatedRuns()))
 	m.Set("evacuation.starts", counters.EvacuatedStarts)
+	if e.settings.Reservations {
+		reserved, givenUp := e.core.Reservations()
+		m.Set("reservations.endpoints", int64(reserved))
+		m.Set("reservations.given_up", givenUp)
+	}
 	publishEnds(m, counters.Ended[:], counters.Refused[:])
 	publishOmitted(m, e.opts.Log)
 }
--- a/pool/scheduler/core.go
+++ b/pool/scheduler/core.go
@@ -35,6 +35,9 @@
 	// SharingFloor, if above 0, divides the capacity between priorities, queues and callers;
 	// each queue is guaranteed this part of its max-min fair share. See pool/fairness.
 	SharingFloor float64
+	// Reservations lets large tasks that fit nowhere reserve endpoints, and others
+	// start there only if they are predicted to end before.
+	Reservations bool
 }
 
 const (
@@ -109,6 +112,9 @@
 	// sharing is nil without Options.SharingFloor.
 	sharing *sharing
 
+	// reservations is nil if Options.Reservations is not set.
+	reservations *reservations
+
 	// crashes and suspects hold the crashes of the last minute and the jobs under them.
 	crashes  kernel.OrderedMap[crashID, *crashRecord]
 	suspects kernel.OrderedMap[string, *suspect]
@@ -164,6 +170,7 @@
 func New(opts Options) *Core {
 	return &Core{
 		opts:          opts,
+		reservations:  newReservations(opts),
 		jobs:          map[string]*job{},
 		waiters:       map[Waiter]*job{},
 		queues:        map[string]*queue{},
--- a/settings/pool.go
+++ b/settings/pool.go
@@ -32,6 +32,9 @@
 	LoadSharing bool `yaml:"load_sharing,omitempty"`
 	// Sharing divides an entry's capacity between priorities, queues and callers.
 	Sharing Sharing `yaml:"sharing,omitempty"`
+	// Reservations lets large tasks that fit nowhere reserve endpoints; see
+	// docs/design/reservations.md. Default false.
+	Reservations bool `yaml:"reservations,omitempty"`
 }
 
 // Sharing is the setting by which entries share capacity. It should be the same at all
