--- a/intake/connections.go
+++ b/intake/connections.go
@@ -135,7 +135,8 @@
 			c.mu.Lock()
 			c.remove(conn)
 			c.mu.Unlock()
-		case http.StateIdle:
+		case http.StateActive, http.StateIdle:
+			// A client that sends a request is served before those that have sent nothing for longer.
 			c.mu.Lock()
 			entry := c.open[conn]
 			c.mu.Unlock()
--- a/intake/gate_test.go
+++ b/intake/gate_test.go
@@ -185,3 +185,23 @@
 	is.NoErr(err)
 	is.Equal(status, http.StatusOK)
 }
+
+// TestRequestThatArrivesIsNotEvictedFirst guards against a well-behaved client whose connection
+// is closed in the middle of its request, while one that has sent nothing keeps its own: the
+// client's connection has been idle for longer than the other one has been open.
+func TestRequestThatArrivesIsNotEvictedFirst(t *testing.T) {
+	is := is.New(t)
+	c := newConnections(nil, 2, func(net.Addr, bool) {})
+	server := &http.Server{}
+	c.Track(server)
+	conn := func() net.Conn {
+		near, far := net.Pipe()
+		t.Cleanup(func() { _ = far.Close() })
+		return near
+	}
+	client, silent, next := conn(), conn(), conn()
+	is.True(c.admit(client) && c.admit(silent))
+	server.ConnState(client, http.StateActive)
+	is.True(c.admit(next))
+	is.True(c.open[client] != nil && c.open[silent] == nil)
+}
--- a/transport/link.go
+++ b/transport/link.go
@@ -186,6 +186,7 @@
 			return err
 		}
 		m, err := message.Decode(buf)
+		share.release()
 		var unknown message.UnknownKindError
 		if errors.As(err, &unknown) {
 			continue
@@ -199,7 +200,6 @@
 		if cap(buf) > maxRetainedBufferBytes {
 			buf = nil
 		}
-		share.release()
 	}
 }
 
