Sharing: forwarded jobs are offered once, started jobs wait for less, new queues are not unlimited

Cause: found in review; with load sharing a job was offered at two entries and served at one, so that queues were limited without a shortage; the wait of a started job counted what goes after it; a new queue had an infinite allocation for up to 10 ms. Change: the origin withdraws the load of a forwarded job; started jobs go before their queue's others in the estimates as well; a new queue has no allocation yet. Only with the setting sharing.floor.

--- a/pool/fairness/shares.go
+++ b/pool/fairness/shares.go
@@ -83,7 +83,7 @@
 func (s *Shares) queue(name string, priority int) *Queue {
 	q := s.byName[name]
 	if q == nil {
-		q = &Queue{level: math.Inf(1), allocation: math.Inf(1)}
+		q = &Queue{level: math.Inf(1)}
 		q.callers.init(q)
 		s.byName[name] = q
 		s.queues = append(s.queues, q)
@@ -99,6 +99,14 @@
 	c.current().served += work * s.weight
 }
 
+// Withdraw takes back the work of an offered job that another entry serves; negative work adds it
+// again.
+func (s *Shares) Withdraw(now time.Duration, c *Caller, work float64) {
+	s.advance(now)
+	c.queue.offered -= work * s.weight
+	c.current().offered -= work * s.weight
+}
+
 // Refuse adds the work of a refused job.
 func (s *Shares) Refuse(now time.Duration, work float64) {
 	s.advance(now)
@@ -257,15 +265,16 @@
 
 // LoadBefore returns the load that goes before the jobs of a caller whenever it arrives: the
 // allocations of all other queues if its own is limited, or of the lower priority numbers among
-// those that are not, and those of the other callers if the caller has had its own.
-func (s *Shares) LoadBefore(c *Caller) float64 {
+// those that are not, and those of the other callers if the caller has had its own. A job with
+// started tasks counts as within its share.
+func (s *Shares) LoadBefore(c *Caller, started bool) float64 {
 	load := 0.0
 	for _, q := range s.queues {
-		if q != c.queue && (c.queue.limited || s.GoesBefore(q, c)) {
+		if q != c.queue && (c.queue.limited && !started || s.GoesBefore(q, c, started)) {
 			load += q.allocation
 		}
 	}
-	if own := c.current(); !s.IsCallerWithin(own) {
+	if own := c.current(); !started && !s.IsCallerWithin(own) {
 		load += max(0, c.queue.allocation-c.queue.level*own.weight())
 	}
 	return load
@@ -273,8 +282,8 @@
 
 // GoesBefore reports whether all that waits of a queue goes before the jobs of a caller of
 // another. Of a queue that is offered more than its allocation, only the allocation does.
-func (s *Shares) GoesBefore(q *Queue, c *Caller) bool {
-	return q != c.queue && !q.limited && (c.queue.limited || q.priority < c.queue.priority)
+func (s *Shares) GoesBefore(q *Queue, c *Caller, started bool) bool {
+	return q != c.queue && !q.limited && (c.queue.limited && !started || q.priority < c.queue.priority)
 }
 
 // Offered returns the load that is offered to all queues.
--- a/pool/scheduler/forward.go
+++ b/pool/scheduler/forward.go
@@ -118,6 +118,7 @@
 	c.waiting -= j.waiting
 	j.waiting = 0
 	c.removeFromBacklog(j)
+	c.shareForwarded(j, len(j.tasks))
 	j.FirstRun += forwardRunNumbers
 	p.jobs.Set(f.request, j)
 	p.pending.Jobs = append(p.pending.Jobs, message.ForwardedJob{
@@ -170,6 +171,7 @@
 	j.FirstRun += forwardRunNumbers
 	j.waiting = len(j.tasks)
 	c.waiting += j.waiting
+	c.shareForwarded(j, -j.waiting)
 	j.reviewAt = c.now
 }
 
--- a/pool/scheduler/sharing.go
+++ b/pool/scheduler/sharing.go
@@ -166,9 +166,12 @@
 // backlogPlace returns a job's place among those of its queue: by band, then jobs of callers within
 // their share, then by time.
 func (c *Core) backlogPlace(j *job) fairness.Place {
-	rank := float64(2 * max(c.band(j), bandInTime))
-	if j.runs == 0 && !c.sharing.shares.IsCallerWithin(j.share.caller) {
+	rank := float64(3 * max(c.band(j), bandInTime))
+	if j.runs == 0 {
 		rank++
+		if !c.sharing.shares.IsCallerWithin(j.share.caller) {
+			rank++
+		}
 	}
 	return fairness.Place{Rank: rank, QueuedAt: j.share.queuedAt}
 }
@@ -185,7 +188,7 @@
 		work -= j.share.work
 	}
 	for _, q := range c.queueList {
-		if q != j.queue && q.share != nil && (j.late || s.shares.GoesBefore(q.share, j.share.caller)) {
+		if q != j.queue && q.share != nil && (j.late || s.shares.GoesBefore(q.share, j.share.caller, j.runs > 0)) {
 			work += q.backlog.Total()
 		}
 	}
@@ -222,7 +225,7 @@
 		return c.sharing.shares.Offered()
 	}
 	c.sharing.shares.Update(c.now)
-	return c.sharing.shares.LoadBefore(j.share.caller)
+	return c.sharing.shares.LoadBefore(j.share.caller, j.runs > 0)
 }
 
 // sharedStartRate is startRate, computed once for each time.
@@ -243,3 +246,11 @@
 	}
 	return c.sharing.shares.RetryAfter(j.ID, waiting, c.startRate())
 }
+
+// shareForwarded moves the offered work of a job to the entry that it was forwarded to, which
+// counts it as well; a negative number takes it back.
+func (c *Core) shareForwarded(j *job, tasks int) {
+	if c.sharing != nil && !j.isConfined() {
+		c.sharing.shares.Withdraw(c.now, j.share.caller, j.work(tasks))
+	}
+}
