--- a/emulator/nodes.go
+++ b/emulator/nodes.go
@@ -157,7 +157,7 @@
 	}
 }
 
-// shareLoads tells the other entries the loads of the queues.
+// shareLoads sends the loads of the queues to the other entries.
 func (n *entryNode) shareLoads() {
 	if loads := n.core.QueueLoads(); n.alive && len(loads) > 0 {
 		n.broadcast(scheduler.LoadsShared{Entry: n.name, Loads: loads})
--- a/message/forward.go
+++ b/message/forward.go
@@ -5,7 +5,7 @@
 // only while the host has jobs of the origin.
 type ForwardOrders struct {
 	// ReportTimestamp is the newest ForwardReport.Timestamp that the origin has processed.
-	// The host tells from it, by its own clock alone, how long ago the origin was there.
+	// From it the host derives, by its own clock alone, when the origin was last alive.
 	ReportTimestamp int64 `cbor:"1,keyasint,omitempty"`
 	// Ask asks for a report at once.
 	Ask     bool           `cbor:"2,keyasint,omitempty"`
--- a/pool/executor/evacuation_test.go
+++ b/pool/executor/evacuation_test.go
@@ -66,7 +66,7 @@
 	is.Equal(r.core.Counters().EvacuatedStarts, int64(0))
 }
 
-// TestZoneOfTheEndpointCounts guards against an endpoint that is taken for one of its
+// TestZoneOfTheEndpointCounts guards against an endpoint that is treated as one of its
 // agent's zone.
 func TestZoneOfTheEndpointCounts(t *testing.T) {
 	is := is.New(t)
--- a/pool/fairness/shares.go
+++ b/pool/fairness/shares.go
@@ -21,7 +21,7 @@
 	// rounding makes up for rounding errors in sums of loads, which would limit a queue that may
 	// get all that it is offered.
 	rounding = 1 + 1e-9
-	// maxPriority is the highest priority that is told apart; higher ones count as this.
+	// maxPriority is the highest priority that is distinguished; higher ones count as this.
 	maxPriority = 7
 	// rescaleAfter is how many time constants the landmark of the averages may lie back;
 	// exp(32) leaves float64 all of its precision.
--- a/pool/scheduler/host.go
+++ b/pool/scheduler/host.go
@@ -41,7 +41,7 @@
 	answers []message.ForwardAnswer
 }
 
-// hostedJob tells where the answer for a waiter goes.
+// hostedJob identifies where the answer for a waiter goes.
 type hostedJob struct {
 	origin  *origin
 	request uint64
