--- a/pool/scheduler/admission.go
+++ b/pool/scheduler/admission.go
@@ -136,6 +136,7 @@
 	return c.measureStartRate()
 }
 
+// measureStartRate computes startRate. Runs in evacuated zones free no capacity for others.
 func (c *Core) measureStartRate() float64 {
 	running := 0.0
 	for _, a := range c.agentList {
