Intake: requests in progress leave room for new clients

What callers saw: with 320 connections that each had a request in progress, all of legal size, an ordinary caller's new connection was reset or closed (EOF), as were the balancer's readiness check and the scrape of the metrics at listeners whose clients read no answers.

Cause: the limit of connections was the only one, and a connection whose request was in progress was never closed. With all of them in progress nobody was left to close, so that the newcomer went.

Change: requests in progress take three quarters of the connections at most; complete requests beyond wait for a place, and their connections make room for new ones, the longest waiting first. After a second the longest request in progress gives way to one that waits. Clients that send requests before the answer to the one before give way at once and have an eighth of the places together.

The second of minServiceTime is the length of the tasks that the dispatcher is for.

--- a/crowd/cluster_test.go
+++ b/crowd/cluster_test.go
@@ -71,6 +71,12 @@
 	run := runner.New(runner.Options{
 		Name: "i-1", Service: "s", Address: endpoint, HeartbeatAddress: c.agent.address.http, CPU: 4000, TaskCPU: 1000,
 		Lease: time.Second, StopTime: 25 * time.Millisecond, Heartbeat: 100 * time.Millisecond,
+		Work: func(task string) (time.Duration, string) {
+			if task == lastingTask {
+				return lastingTime, "done"
+			}
+			return 20 * time.Millisecond, "done"
+		},
 	})
 	c.serve(endpoint, run)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -32,6 +32,11 @@
 	// short is how many bytes a body stops short of its end; one in completeOf does not.
 	short      = 100
 	completeOf = 8
+	// maxPipelined bounds the requests of one connection.
+	maxPipelined = 100_000
+	// lastingTask is the payload of tasks that take lastingTime.
+	lastingTask = "lasting"
+	lastingTime = 20 * time.Second
 	// writeTimeout ends the writes of a client that the process does not read from.
 	writeTimeout = 5 * time.Second
 )
@@ -196,6 +201,54 @@
 
 func idle(net.Conn, int) {}
 
+// pipelined sends requests one behind the other and reads no answer. It goes on in the
+// background until the connection is closed, maxPipelined requests at most.
+func pipelined(request func() string) write {
+	return func(conn net.Conn, _ int) {
+		_ = conn.SetWriteDeadline(time.Now().Add(2 * waitTimeout))
+		send := func() error {
+			_, err := conn.Write([]byte(request()))
+			return err
+		}
+		if send() != nil {
+			return
+		}
+		go func() {
+			for n := 1; n < maxPipelined && send() == nil; n++ {
+			}
+		}()
+	}
+}
+
+// once sends one request and does not read its answer.
+func once(request func() string) write {
+	return func(conn net.Conn, _ int) { _, _ = conn.Write([]byte(request())) }
+}
+
+// jobRequest returns requests for jobs of n bytes.
+func jobRequest(n int) func() string {
+	data := string(body(jobBody, n))
+	return func() string { return jobHeader(contentLength(n)) + data }
+}
+
+// lastingJob returns requests for a job that takes no capacity and longer than the crowd is
+// there; all for one job, or each for its own.
+func lastingJob(same bool) func() string {
+	const text = `{"task_spec":"` + lastingTask + `","best_effort":true,"steps":[{"count":1,"cpu":1,"mem_mb":1,"est_duration_ms":5000}]}`
+	return func() string {
+		n := 2
+		if !same {
+			n = int(rand.Int64())
+		}
+		return header(http.MethodPost, jobPath(n), contentLength(len(text))) + text
+	}
+}
+
+// get returns requests without a body.
+func get(path string) func() string {
+	return func() string { return header(http.MethodGet, path) }
+}
+
 // TestCrowds guards against a process that runs out of memory or descriptors, or serves
 // nobody any more, because of clients that it does not control.
 func TestCrowds(t *testing.T) {
@@ -228,6 +281,12 @@
 		{"readiness-idle", readiness, clients, idle},
 		{"metrics-bodies", metrics, clients, announced(func(f ...string) string { return header(http.MethodGet, "/metrics", f...) }, job, 0)},
 		{"metrics-idle", metrics, clients, idle},
+		{"callers-pipelined-jobs", callers, clients, pipelined(jobRequest(maxBodyBytes / 2))},
+		{"callers-pipelined-small-jobs", callers, clients, pipelined(jobRequest(256))},
+		{"callers-one-job", callers, clients, once(lastingJob(true))},
+		{"callers-in-progress", callers, clients, once(lastingJob(false))},
+		{"readiness-pipelined", readiness, clients, pipelined(get("/readiness"))},
+		{"metrics-pipelined", metrics, clients, pipelined(get("/metrics"))},
 	} {
 		t.Run(crowd.name, func(t *testing.T) {
 			c := newCluster(t)
--- a/intake/connections.go
+++ b/intake/connections.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -16,30 +17,65 @@
 // for its own overhead. Its defaults would let each client fill several MB.
 const SocketBufferBytes = 16 << 10
 
-// Connections limits the open connections of one server. When the limit is reached, the
-// connection that has been without a complete request for the longest time is closed.
+// Closing is why a connection is closed because of a limit.
+type Closing uint8
+
+const (
+	// ClosedWaiting makes room for a new connection: it has been without a request in
+	// progress for the longest time.
+	ClosedWaiting Closing = iota
+	// ClosedInProgress makes room for another request: its own has been in progress for the
+	// longest time, or its client has sent further requests before the answer.
+	ClosedInProgress
+	// ClosedRefused is a new connection for which no other can be closed.
+	ClosedRefused
+)
+
+// String returns the suffix of the counter.
+func (c Closing) String() string {
+	switch c {
+	case ClosedWaiting:
+		return "evicted"
+	case ClosedInProgress:
+		return "evicted_in_progress"
+	}
+	return "refused"
+}
+
+// Connections limits the open connections of one server and the requests that are in progress
+// on them. When a limit is reached, the connection whose client loses least is closed; see
+// places for the order.
 type Connections struct {
 	net.Listener
-	limit int
-	// closed is called for each connection that is closed to make room, or refused
-	// because all others have a request in progress.
-	closed func(remote net.Addr, refused bool)
+	// closed is called for each connection that is closed because of a limit.
+	closed func(remote net.Addr, why Closing)
 
-	mu   sync.Mutex
-	open map[net.Conn]*connection
-	// waiting holds the connections without a complete request, the longest waiting first.
-	waiting list.List
+	mu     sync.Mutex
+	places *places
+	// timer is set while a queued request waits for the end of another one's service time.
+	timer *time.Timer
 }
 
+// connection is an accepted connection. Its mutable fields belong to its owner's lock.
 type connection struct {
-	conn  net.Conn
+	net.Conn
 	owner *Connections
-	// place is the connection's place in waiting, nil while a request is in progress.
-	place *list.Element
+	// place and queue are the connection's elements in the lists of owner.places, place is nil
+	// once it is closed; since is when it entered its phase.
+	place, queue *list.Element
+	phase        phase
+	since        time.Time
+	// begun is signalled when a queued request may begin.
+	begun chan struct{}
+	// asked is set when something has been received since the last write: a request that
+	// begins without it was sent before the answer to the one before it.
+	asked bool
+	// evict ends the contexts of the connection's requests.
+	evict context.CancelFunc
 }
 
-// Listen listens on a TCP address for at most limit connections; 0 sets no limit.
-func Listen(address string, limit int, closed func(remote net.Addr, refused bool)) (*Connections, error) {
+// listen listens on a TCP address with buffers of SocketBufferBytes.
+func listen(address string) (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		var err error
 		controlErr := raw.Control(func(fd uintptr) {
@@ -53,15 +89,11 @@
 		}
 		return err
 	}}
-	listener, err := config.Listen(context.Background(), "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return newConnections(listener, limit, closed), nil
+	return config.Listen(context.Background(), "tcp", address)
 }
 
-func newConnections(listener net.Listener, limit int, closed func(net.Addr, bool)) *Connections {
-	return &Connections{Listener: listener, limit: limit, closed: closed, open: map[net.Conn]*connection{}}
+func newConnections(listener net.Listener, limit int, closed func(net.Addr, Closing)) *Connections {
+	return &Connections{Listener: listener, closed: closed, places: newPlaces(limit)}
 }
 
 // Accept implements net.Listener.
@@ -71,47 +103,45 @@
 		if err != nil {
 			return nil, err
 		}
-		if c.admit(conn) {
-			return conn, nil
+		if admitted := c.admit(conn); admitted != nil {
+			return admitted, nil
 		}
 		_ = conn.Close()
-		c.closed(conn.RemoteAddr(), true)
+		c.closed(conn.RemoteAddr(), ClosedRefused)
 	}
 }
 
-// admit registers a connection and closes another one if there are too many. It returns
-// false if none can be closed.
-func (c *Connections) admit(conn net.Conn) bool {
+// admit registers a connection and closes another one if there are too many. It returns nil
+// if none can be closed.
+func (c *Connections) admit(conn net.Conn) *connection {
 	c.mu.Lock()
-	var evicted net.Conn
-	if c.limit > 0 && len(c.open) >= c.limit {
-		front := c.waiting.Front()
-		if front == nil {
-			c.mu.Unlock()
-			return false
-		}
-		evicted = front.Value.(*connection).conn
-		c.remove(evicted)
+	evicted, ok := c.places.admit()
+	if !ok {
+		c.mu.Unlock()
+		return nil
 	}
-	entry := &connection{conn: conn, owner: c}
-	entry.place = c.waiting.PushBack(entry)
-	c.open[conn] = entry
-	c.mu.Unlock()
 	if evicted != nil {
-		_ = evicted.Close()
-		c.closed(evicted.RemoteAddr(), false)
+		c.places.leave(evicted)
 	}
-	return true
+	e := &connection{Conn: conn, owner: c, begun: make(chan struct{}, 1), evict: func() {}}
+	c.places.enter(e, waiting, time.Now())
+	c.mu.Unlock()
+	c.close(evicted, ClosedWaiting)
+	return e
 }
 
-func (c *Connections) remove(conn net.Conn) {
-	if entry := c.open[conn]; entry != nil {
-		if entry.place != nil {
-			c.waiting.Remove(entry.place)
-			entry.place = nil
-		}
-		delete(c.open, conn)
+// close closes a connection that has left its place; nil is none.
+func (c *Connections) close(e *connection, why Closing) {
+	if e == nil {
+		return
 	}
+	c.mu.Lock()
+	evict := e.evict
+	c.mu.Unlock()
+	evict()
+	// The connection is of no further use, whatever the error.
+	_ = e.Conn.Close()
+	c.closed(e.RemoteAddr(), why)
 }
 
 type connectionKey struct{}
@@ -120,27 +150,24 @@
 func (c *Connections) Track(server *http.Server) {
 	connContext, connState := server.ConnContext, server.ConnState
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		e := conn.(*connection)
+		ctx, cancel := context.WithCancel(context.WithValue(ctx, connectionKey{}, e))
 		c.mu.Lock()
-		entry := c.open[conn]
+		e.evict = cancel
 		c.mu.Unlock()
-		ctx = context.WithValue(ctx, connectionKey{}, entry)
 		if connContext != nil {
 			ctx = connContext(ctx, conn)
 		}
 		return ctx
 	}
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		e := conn.(*connection)
 		switch state {
 		case http.StateClosed, http.StateHijacked:
-			c.mu.Lock()
-			c.remove(conn)
-			c.mu.Unlock()
+			e.remove()
 		case http.StateActive, http.StateIdle:
 			// A client that sends a request is served before those that have sent nothing for longer.
-			c.mu.Lock()
-			entry := c.open[conn]
-			c.mu.Unlock()
-			entry.wait()
+			e.wait()
 		}
 		if connState != nil {
 			connState(conn, state)
@@ -150,11 +177,57 @@
 
 // connectionOf returns the connection of a request, or nil.
 func connectionOf(r *http.Request) *connection {
-	entry, _ := r.Context().Value(connectionKey{}).(*connection)
-	return entry
+	e, _ := r.Context().Value(connectionKey{}).(*connection)
+	return e
+}
+
+// Read implements net.Conn. What is received before a request is answered belongs to the
+// next one.
+func (e *connection) Read(p []byte) (int, error) {
+	n, err := e.Conn.Read(p)
+	if n > 0 {
+		c := e.owner
+		c.mu.Lock()
+		pipelined := e.place != nil && e.phase == working && e.asked
+		e.asked = true
+		if pipelined {
+			c.places.enter(e, pipelining, time.Now())
+			c.begin()
+		}
+		c.mu.Unlock()
+	}
+	return n, err
 }
 
-// wait notes that the connection is without a complete request from now on.
+// Write implements net.Conn.
+func (e *connection) Write(p []byte) (int, error) {
+	e.owner.mu.Lock()
+	e.asked = false
+	e.owner.mu.Unlock()
+	return e.Conn.Write(p)
+}
+
+// CloseWrite shuts down the writing side, which net/http does before it closes a connection
+// with unread requests.
+func (e *connection) CloseWrite() error {
+	if conn, ok := e.Conn.(interface{ CloseWrite() error }); ok {
+		return conn.CloseWrite()
+	}
+	return nil
+}
+
+// remove notes that the connection is closed.
+func (e *connection) remove() {
+	c := e.owner
+	c.mu.Lock()
+	c.places.leave(e)
+	c.begin()
+	evict := e.evict
+	c.mu.Unlock()
+	evict()
+}
+
+// wait notes that the connection is without a request in progress from now on.
 func (e *connection) wait() {
 	if e == nil {
 		return
@@ -162,26 +235,78 @@
 	c := e.owner
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.open[e.conn] != e {
-		return
-	}
 	if e.place != nil {
-		c.waiting.MoveToBack(e.place)
-		return
+		c.places.enter(e, waiting, time.Now())
+		c.begin()
 	}
-	e.place = c.waiting.PushBack(e)
 }
 
-// work notes that a complete request is in progress.
-func (e *connection) work() {
+// work notes that a request is complete, and waits for a place for it. It returns ErrEvicted if
+// the connection is closed instead.
+func (e *connection) work(ctx context.Context) error {
 	if e == nil {
-		return
+		return nil
 	}
 	c := e.owner
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if e.place != nil {
-		c.waiting.Remove(e.place)
-		e.place = nil
+	if e.place == nil {
+		c.mu.Unlock()
+		return ErrEvicted
+	}
+	c.places.enter(e, queued, time.Now())
+	c.begin()
+	begun := e.phase != queued
+	c.mu.Unlock()
+	if begun {
+		<-e.begun
+		return nil
+	}
+	select {
+	case <-e.begun:
+		return nil
+	case <-ctx.Done():
+		e.wait()
+		return ErrEvicted
+	}
+}
+
+// begin begins the queued requests that there are places for, and closes the connections that
+// have to give way. It is called after each change, with the lock held.
+func (c *Connections) begin() {
+	for {
+		if surplus := c.places.surplus(); surplus != nil {
+			c.evict(surplus)
+		}
+		now := time.Now()
+		e, evicted, at := c.places.next(now)
+		if e == nil {
+			if !at.IsZero() && c.timer == nil {
+				c.timer = time.AfterFunc(at.Sub(now), c.serviceTimeEnded)
+			}
+			return
+		}
+		if evicted != nil {
+			c.evict(evicted)
+		}
+		to := working
+		if !e.asked {
+			to = pipelining
+		}
+		c.places.enter(e, to, now)
+		e.begun <- struct{}{}
 	}
 }
+
+// evict closes a connection with a request in progress.
+func (c *Connections) evict(e *connection) {
+	c.places.leave(e)
+	// Closing takes the lock.
+	go c.close(e, ClosedInProgress)
+}
+
+func (c *Connections) serviceTimeEnded() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.timer = nil
+	c.begin()
+}
--- a/intake/gate.go
+++ b/intake/gate.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"time"
@@ -35,17 +36,34 @@
 	return &Gate{budget: NewBudget(budget), timeout: timeout, metrics: metrics}
 }
 
-// Handler limits the time for a request's body, whether or not next reads it, and tells the
-// request's connection when the request is in progress.
+// Listen listens on a TCP address for at most limit connections of clients, to be tracked by
+// their server; 0 sets no limit. closed is called for each connection that is closed because
+// of the limit.
+func (g *Gate) Listen(address string, limit int, closed func(remote net.Addr, why Closing)) (*Connections, error) {
+	listener, err := listen(address)
+	if err != nil {
+		return nil, err
+	}
+	return newConnections(listener, limit, func(remote net.Addr, why Closing) {
+		g.metrics.Add("connections."+why.String(), 1)
+		closed(remote, why)
+	}), nil
+}
+
+// Handler limits the time for a request's body, whether or not next reads it, and lets next
+// begin when there is a place for the request. The place of a request with a body is taken at
+// the body's end.
 func (g *Gate) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn := connectionOf(r)
-		if r.ContentLength == 0 {
-			conn.work()
-			next.ServeHTTP(w, r)
+		if r.ContentLength != 0 {
+			setReadDeadline(w, time.Now().Add(g.timeout))
+		} else if err := conn.work(r.Context()); err != nil {
+			// Its client has left or has lost the connection.
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		setReadDeadline(w, time.Now().Add(g.timeout))
 		next.ServeHTTP(w, r)
 		// A rest of the body may be left, which the server reads before the next request.
 		conn.wait()
@@ -129,11 +147,13 @@
 		// Its deadline is past, which also ends the server's watch for the client's end.
 		err = ErrEvicted
 	}
+	if err == nil {
+		// The server has cleared the deadline when it read the end of the body.
+		err = connectionOf(b.r).work(b.r.Context())
+	}
 	if err != nil {
 		return b.refuse(err)
 	}
-	// The server has cleared the deadline when it read the end of the body.
-	connectionOf(b.r).work()
 	return nil
 }
 
