Intake: pauses between the requests of many clients

What callers saw: beside 320 connections that pipeline small requests (for a path without a route, or for the states of jobs) ordinary jobs got 503 "no endpoint takes tasks" and readiness answered 503, so that the balancer would take the entry out. The same beside 320 connections that pipeline heartbeats at an agent.

Cause: with one processor and always some client's goroutine ready, Go's scheduler polls the network and takes the goroutines that it woke late (one of the global queue every 61 turns). Reports of agents came later than the heartbeat timeout of 400 ms, and the entry dropped the agents' connections. Yielding every 4 KiB of a body did not cover requests that are small or have no body.

Change: intake.Pacer. When 64 steps (a request, 16 KiB of a body, a new connection) have begun without a pause, the next ones wait for a timer, 8 at a time; the pause grows by the lateness of the timer. It replaces the yielding.

--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -1,11 +1,13 @@
 package crowd
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"crypto/tls"
 	"encoding/binary"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -220,6 +222,28 @@
 	}
 }
 
+// repeated sends requests in the background, each after the answer to the one before it.
+func repeated(request func() string) write {
+	return func(conn net.Conn, _ int) {
+		_ = conn.SetDeadline(time.Now().Add(2 * waitTimeout))
+		go func() {
+			answers := bufio.NewReader(conn)
+			for range maxPipelined {
+				if _, err := conn.Write([]byte(request())); err != nil {
+					return
+				}
+				resp, err := http.ReadResponse(answers, nil)
+				if err != nil {
+					return
+				}
+				if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+					return
+				}
+			}
+		}()
+	}
+}
+
 // once sends one request and does not read its answer.
 func once(request func() string) write {
 	return func(conn net.Conn, _ int) { _, _ = conn.Write([]byte(request())) }
@@ -283,8 +307,14 @@
 		{"metrics-idle", metrics, clients, idle},
 		{"callers-pipelined-jobs", callers, clients, pipelined(jobRequest(maxBodyBytes / 2))},
 		{"callers-pipelined-small-jobs", callers, clients, pipelined(jobRequest(256))},
+		{"callers-pipelined-no-route", callers, clients, pipelined(get("/none"))},
+		{"callers-pipelined-states", callers, clients, pipelined(func() string { return get(jobPath(int(rand.Int64())))() })},
+		{"callers-repeated-no-route", callers, clients, repeated(get("/none"))},
 		{"callers-one-job", callers, clients, once(lastingJob(true))},
 		{"callers-in-progress", callers, clients, once(lastingJob(false))},
+		{"heartbeats-pipelined", runners, clients, pipelined(func() string {
+			return heartbeatHeader(contentLength(len(heartbeatBody)+1)) + heartbeatBody + "}"
+		})},
 		{"readiness-pipelined", readiness, clients, pipelined(get("/readiness"))},
 		{"metrics-pipelined", metrics, clients, pipelined(get("/metrics"))},
 	} {
--- a/intake/connections.go
+++ b/intake/connections.go
@@ -47,6 +47,9 @@
 // places for the order.
 type Connections struct {
 	net.Listener
+	// pacer bounds the processor time for new connections. They don't wait behind requests, as
+	// they come one after the other.
+	pacer *Pacer
 	// closed is called for each connection that is closed because of a limit.
 	closed func(remote net.Addr, why Closing)
 
@@ -92,8 +95,8 @@
 	return config.Listen(context.Background(), "tcp", address)
 }
 
-func newConnections(listener net.Listener, limit int, closed func(net.Addr, Closing)) *Connections {
-	return &Connections{Listener: listener, closed: closed, places: newPlaces(limit)}
+func newConnections(listener net.Listener, limit int, pacer *Pacer, closed func(net.Addr, Closing)) *Connections {
+	return &Connections{Listener: listener, pacer: pacer, closed: closed, places: newPlaces(limit)}
 }
 
 // Accept implements net.Listener.
@@ -103,6 +106,7 @@
 		if err != nil {
 			return nil, err
 		}
+		c.pacer.Take()
 		if admitted := c.admit(conn); admitted != nil {
 			return admitted, nil
 		}
--- a/intake/gate.go
+++ b/intake/gate.go
@@ -28,12 +28,13 @@
 	budget  *Budget
 	timeout time.Duration
 	metrics *telemetry.Registry
+	pacer   *Pacer
 }
 
 // NewGate returns a gate with a budget in bytes and the time within which a request has to
 // be received.
 func NewGate(budget int64, timeout time.Duration, metrics *telemetry.Registry) *Gate {
-	return &Gate{budget: NewBudget(budget), timeout: timeout, metrics: metrics}
+	return &Gate{budget: NewBudget(budget), timeout: timeout, metrics: metrics, pacer: NewPacer(metrics)}
 }
 
 // Listen listens on a TCP address for at most limit connections of clients, to be tracked by
@@ -44,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConnections(listener, limit, func(remote net.Addr, why Closing) {
+	return newConnections(listener, limit, NewPacer(g.metrics), func(remote net.Addr, why Closing) {
 		g.metrics.Add("connections."+why.String(), 1)
 		closed(remote, why)
 	}), nil
@@ -55,6 +56,7 @@
 // the body's end.
 func (g *Gate) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		g.pacer.Take()
 		conn := connectionOf(r)
 		if r.ContentLength != 0 {
 			setReadDeadline(w, time.Now().Add(g.timeout))
--- a/intake/gate_test.go
+++ b/intake/gate_test.go
@@ -216,7 +216,7 @@
 // client's connection has been idle for longer than the other one has been open.
 func TestRequestThatArrivesIsNotEvictedFirst(t *testing.T) {
 	is := is.New(t)
-	c := newConnections(nil, 2, func(net.Addr, Closing) {})
+	c := newConnections(nil, 2, nil, func(net.Addr, Closing) {})
 	server := &http.Server{}
 	c.Track(server)
 	conn := func() net.Conn {
--- a/intake/json.go
+++ b/intake/json.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"runtime"
 	"strings"
 )
 
@@ -19,9 +18,9 @@
 	nameBytes = 64
 	// maxLiteralBytes bounds a number.
 	maxLiteralBytes = 512
-	// yieldBytes is what is read before other goroutines get the processor: many clients that
-	// send large bodies at once would otherwise delay the work of the process.
-	yieldBytes = 4 << 10
+	// stepBytes is what is read of a body in one step of the gate's pacer. Decoding them takes
+	// about as long as a small request.
+	stepBytes = 16 << 10
 	// maxDepth bounds the nesting of values that are not wanted, as encoding/json does.
 	maxDepth = 10_000
 )
@@ -51,7 +50,7 @@
 		}
 		return json.Unmarshal(data, whole)
 	}
-	return newDecoder(b).decodeAll(fields)
+	return newDecoder(b, b.gate.pacer).decodeAll(fields)
 }
 
 // decodeAll reads the text, which must contain one object.
@@ -74,8 +73,8 @@
 	text *compactor
 }
 
-func newDecoder(src io.Reader) *Decoder {
-	text := &compactor{src: src}
+func newDecoder(src io.Reader, pacer *Pacer) *Decoder {
+	text := &compactor{src: src, pacer: pacer}
 	d := &Decoder{json: json.NewDecoder(text), text: text}
 	d.json.UseNumber()
 	return d
@@ -175,9 +174,11 @@
 	src io.Reader
 	err error
 	in  [512]byte
-	// unyielded counts the bytes read since the last yield.
-	unyielded int
-	pending   []byte
+	// pacer bounds the processor time for many large bodies at once; step counts the bytes read
+	// in the present step.
+	pacer   *Pacer
+	step    int
+	pending []byte
 
 	mode int
 	// emitted counts the bytes of a wanted value.
@@ -220,9 +221,9 @@
 			var got int
 			got, c.err = c.src.Read(c.in[:])
 			c.pending = c.in[:got]
-			if c.unyielded += got; c.unyielded >= yieldBytes {
-				c.unyielded = 0
-				runtime.Gosched()
+			if c.step += got; c.step >= stepBytes {
+				c.step = 0
+				c.pacer.Take()
 			}
 			continue
 		}
--- a/intake/json_test.go
+++ b/intake/json_test.go
@@ -25,7 +25,7 @@
 
 func decode(src io.Reader) (sample, error) {
 	var s sample
-	d := newDecoder(src)
+	d := newDecoder(src, nil)
 	err := d.decodeAll(Fields{
 		"text": &s.Text, "count": &s.Count, "names": &s.Names,
 		"nested": ReadValue(func(d *Decoder) error {
