Own HTTP interface: limits of connections and of requests in progress

What callers saw: with 300 descriptors and 320 idle or half-sent connections at one entry of a system with the product's own interface, no request was accepted within 30 s ("accept: too many open files"); with 320 connections that pipeline requests, or that have jobs in progress, neither. With 64 bodies of 4 MiB most of them stopped short of their end, the process took 533 MB.

Cause: entries and agents of these deployments used net.Listen; only bodies were limited, each entry of a process for itself, and the collector let as much garbage pile up.

Change: both use intake.Gate.Listen and Gate.Handler with limits that follow from the process's descriptors (limits.connections, connections). Kernel buffers have a set size. A process with several entries shares one gate, and the demo sets the Go runtime's memory limit. A gate reports the limits that clients have reached in one line every ten seconds at most ("client limits reached").

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"marjoramlug.example/marjoramlug/agent/core"
+	"marjoramlug.example/marjoramlug/intake"
 	"marjoramlug.example/marjoramlug/message"
 	"marjoramlug.example/marjoramlug/settings"
 	"marjoramlug.example/marjoramlug/telemetry"
@@ -140,7 +141,9 @@
 // Run serves until ctx ends or Drain has finished. When ctx ends, running tasks are
 // cancelled. An error says that the HTTP address could not be bound or served.
 func (a *Agent) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", a.settings.HTTP)
+	gate := intake.NewGate(intakeBytes, readTimeout, a.opts.Metrics)
+	gate.Report(func(reached string) { a.notifyChange("client limits reached", reached, nil) })
+	listener, err := gate.Listen(a.settings.HTTP, a.settings.Connections, socketBufferBytes, nil)
 	if err != nil {
 		close(a.stopped)
 		return fmt.Errorf("listen for endpoints: %w", err)
@@ -148,7 +151,8 @@
 	ctx, a.stop = context.WithCancel(ctx)
 	defer a.stop()
 	a.listener = listener
-	server := &http.Server{Handler: a.handler(), ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	server := &http.Server{Handler: gate.Handler(gate.Metered(a.handler())), ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	listener.Track(server)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	close(a.ready)
--- a/agent/http.go
+++ b/agent/http.go
@@ -21,6 +21,10 @@
 	maxHeaderBytes = 64 << 10
 	// maxAnnouncementBytes is the maximum size of an announcement.
 	maxAnnouncementBytes = 64 << 10
+	// intakeBytes bounds the memory for announcements that are being received, and
+	// socketBufferBytes each buffer of a connection in the kernel.
+	intakeBytes       = 8 << 20
+	socketBufferBytes = 16 << 10
 	// maxNameBytes is the maximum length of the name of a service or an endpoint.
 	maxNameBytes = 64
 	// maxSlots is the maximum number of slots of an endpoint.
--- a/command/demo.go
+++ b/command/demo.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -27,6 +28,8 @@
 	// Run times of the demo's tasks on an endpoint of speed 1.
 	demoMinRunTime = 50 * time.Millisecond
 	demoMaxRunTime = time.Second
+	// demoMemoryBytes is the memory that the Go runtime manages without collecting more often.
+	demoMemoryBytes = 160 << 20
 	// demoTimeout bounds the whole demo.
 	demoTimeout = time.Minute
 	// demoStopTimeout bounds the graceful shutdown at its end.
@@ -49,6 +52,7 @@
 
 // Run starts a complete system in this process, submits jobs and prints a report.
 func (c demoCommand) Run() error {
+	debug.SetMemoryLimit(demoMemoryBytes)
 	ctx, cancel := context.WithTimeout(context.Background(), demoTimeout)
 	defer cancel()
 	fmt.Printf("starting a stand-in log, %d entries and %d agents with endpoints of speed 1 to 3\n", demoEntries, len(demoSpeeds))
--- a/crowd/cluster_test.go
+++ b/crowd/cluster_test.go
@@ -109,7 +109,7 @@
 // start starts a process; further holds the settings of its role.
 func (c *cluster) start(role, storeAddress, further string) *process {
 	dir := c.t.TempDir()
-	p := &process{name: role, log: filepath.Join(dir, "log"), exited: make(chan struct{})}
+	p := &process{name: role, log: filepath.Join(dir, "log")}
 	p.address.http, p.address.metrics = proctest.FreeTCP(c.t), proctest.FreeTCP(c.t)
 	text := "pool_" + role + ":\n" + fmt.Sprintf(commonSettings, role, p.address.http, p.address.metrics, storeAddress, memoryMB, descriptors) + further
 	if role == "entry" {
@@ -118,9 +118,16 @@
 	}
 	settings := filepath.Join(dir, "settings.yaml")
 	c.must(os.WriteFile(settings, []byte(text), 0o600))
+	p.cmd = exec.Command(program, "platform", role, settings)
+	c.run(p)
+	return p
+}
+
+// run starts a process's command and ends it with the test.
+func (c *cluster) run(p *process) {
 	log, err := os.Create(p.log)
 	c.must(err)
-	p.cmd = exec.Command(program, "platform", role, settings)
+	p.exited = make(chan struct{})
 	p.cmd.Env = append(os.Environ(), "QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING=true")
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	c.must(p.cmd.Start())
@@ -133,7 +140,6 @@
 		_ = p.cmd.Process.Signal(syscall.SIGKILL)
 		<-p.exited
 	})
-	return p
 }
 
 // client opens a new connection for each request.
--- a/embedded/system.go
+++ b/embedded/system.go
@@ -18,11 +18,13 @@
 	"marjoramlug.example/marjoramlug/config"
 	"marjoramlug.example/marjoramlug/dispatch"
 	"marjoramlug.example/marjoramlug/entry"
+	"marjoramlug.example/marjoramlug/intake"
 	httplog "marjoramlug.example/marjoramlug/plugin/log/http"
 	"marjoramlug.example/marjoramlug/plugin/log/memory"
 	_ "marjoramlug.example/marjoramlug/plugin/standard" // registers the plug-ins that entries use
 	"marjoramlug.example/marjoramlug/settings"
 	"marjoramlug.example/marjoramlug/standin/logserver"
+	"marjoramlug.example/marjoramlug/telemetry"
 	"marjoramlug.example/marjoramlug/transport"
 )
 
@@ -52,8 +54,10 @@
 	// entriesStarted counts all entries ever started, also those removed since.
 	entriesStarted int
 
-	opts      Options
-	network   *transport.QUIC
+	opts    Options
+	network *transport.QUIC
+	// gate bounds the memory for requests that all entries are receiving.
+	gate      *intake.Gate
 	logServer *http.Server
 	logURL    string
 }
@@ -62,13 +66,28 @@
 // log reads it again.
 const pollInterval = 50 * time.Millisecond
 
+const (
+	// intakeBytes bounds the memory for requests that are being received: four bodies of the
+	// largest size, each of which takes up to twice its size.
+	intakeBytes = 128 << 20
+	// readTimeout bounds the reading of a request.
+	readTimeout = time.Minute
+)
+
+// connections returns the limit of connections of one of n servers: the entries and the agents
+// of the process leave half of its descriptors to its own connections.
+func (s *System) connections(n int) int {
+	const parts, minConnections = 4, 8
+	return max(settings.DescriptorLimit()/parts/max(n, 1), minConnections)
+}
+
 // Start starts a system and waits until it can accept jobs.
 func Start(ctx context.Context, opts Options) (*System, error) {
 	network, err := transport.NewQUIC(settings.TLS{})
 	if err != nil {
 		return nil, err
 	}
-	s := &System{opts: opts, network: network}
+	s := &System{opts: opts, network: network, gate: intake.NewGate(intakeBytes, readTimeout, telemetry.New())}
 	if err := s.start(ctx); err != nil {
 		s.Kill()
 		return nil, err
@@ -130,12 +149,13 @@
 		Platform:  settings.Platform{Log: "http", URL: s.logURL, PollInterval: pollInterval},
 		Ownership: s.opts.Ownership,
 	}
+	cfg.Limits.Connections = s.connections(s.opts.Entries)
 	cfg.ApplyDefaults()
 	client, err := httplog.New(s.logURL, cfg.Platform.Timeout)
 	if err != nil {
 		return nil, err
 	}
-	e, err := entry.New(cfg, entry.Options{Network: s.network, Log: client, Logger: s.opts.Logger, Version: "embedded"})
+	e, err := entry.New(cfg, entry.Options{Network: s.network, Log: client, Logger: s.opts.Logger, Version: "embedded", Gate: s.gate})
 	if err != nil {
 		return nil, err
 	}
--- a/embedded/worker.go
+++ b/embedded/worker.go
@@ -27,6 +27,7 @@
 		HTTP:     "127.0.0.1:0",
 		Entries:  s.addresses(),
 	}
+	cfg.Connections = s.connections(len(s.opts.Speeds))
 	cfg.ApplyDefaults()
 	w.Agent = agent.New(cfg, agent.Options{Network: s.network, Version: "embedded"})
 	runCtx, cancel := context.WithCancel(context.Background())
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -18,6 +17,7 @@
 	"github.com/phuslu/log"
 
 	"marjoramlug.example/marjoramlug/dispatch"
+	"marjoramlug.example/marjoramlug/intake"
 	"marjoramlug.example/marjoramlug/message"
 	"marjoramlug.example/marjoramlug/ownership"
 	"marjoramlug.example/marjoramlug/settings"
@@ -46,6 +46,8 @@
 	Logger  *log.Logger
 	// Version is announced to peers.
 	Version string
+	// Gate is shared by the entries of a process, as its memory is. Optional.
+	Gate *intake.Gate
 }
 
 // Entry is one instance of the daemon. A process runs one; a test or demo process
@@ -68,7 +70,8 @@
 	relayedJobs sync.WaitGroup
 
 	listener     transport.Listener
-	httpListener net.Listener
+	gate         *intake.Gate
+	httpListener *intake.Connections
 	httpServer   *http.Server
 	stopping     atomic.Bool
 	// built is closed at the end of New. Connections that are accepted earlier
@@ -92,8 +95,12 @@
 	if opts.Logger == nil {
 		opts.Logger = &log.Logger{Level: log.ErrorLevel}
 	}
+	if opts.Gate == nil {
+		opts.Gate = newGate(s.Limits, opts.Metrics, opts.Logger)
+	}
 	e := &Entry{
 		settings:    s,
+		gate:        opts.Gate,
 		network:     opts.Network,
 		metrics:     opts.Metrics,
 		messages:    telemetry.NewMessages(opts.Metrics, "message"),
@@ -127,7 +134,7 @@
 // bind opens the sockets, so that the addresses are known before the entry joins.
 func (e *Entry) bind() error {
 	var err error
-	if e.httpListener, err = net.Listen("tcp", e.settings.HTTP); err != nil {
+	if e.httpListener, err = e.gate.Listen(e.settings.HTTP, e.settings.Limits.Connections, socketBufferBytes, nil); err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
 	if e.listener, err = e.network.Listen(e.settings.Listen, e.hello(), e); err != nil {
@@ -170,6 +177,7 @@
 		ReadTimeout:    readTimeout,
 		IdleTimeout:    2 * time.Minute,
 	}
+	e.httpListener.Track(e.httpServer)
 	e.run(func() { _ = e.httpServer.Serve(e.httpListener) })
 	e.logger.Info().Str("member", string(e.self.ID)).Str("http", e.HTTPAddress()).Str("address", e.self.Address).Msg("entry started")
 }
--- a/intake/connections.go
+++ b/intake/connections.go
@@ -12,11 +12,6 @@
 	"golang.org/x/sys/unix"
 )
 
-// SocketBufferBytes is the size of the buffers of an accepted connection, for what is
-// received and not read and for what is sent and not acknowledged. The kernel doubles it
-// for its own overhead. Its defaults would let each client fill several MB.
-const SocketBufferBytes = 16 << 10
-
 // Closing is why a connection is closed because of a limit.
 type Closing uint8
 
@@ -77,14 +72,16 @@
 	evict context.CancelFunc
 }
 
-// listen listens on a TCP address with buffers of SocketBufferBytes.
-func listen(address string) (net.Listener, error) {
+// listen listens on a TCP address. bufferBytes is the size of the buffers of an accepted
+// connection, for what is received and not read and for what is sent and not acknowledged. The
+// kernel doubles it for its own overhead. Its defaults would let each client fill several MB.
+func listen(address string, bufferBytes int) (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		var err error
 		controlErr := raw.Control(func(fd uintptr) {
-			err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, SocketBufferBytes)
+			err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bufferBytes)
 			if err == nil {
-				err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, SocketBufferBytes)
+				err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, bufferBytes)
 			}
 		})
 		if controlErr != nil {
--- a/intake/gate.go
+++ b/intake/gate.go
@@ -29,25 +29,43 @@
 	timeout time.Duration
 	metrics *telemetry.Registry
 	pacer   *Pacer
+	// pressure summarizes the limits that were reached.
+	pressure pressure
 }
 
 // NewGate returns a gate with a budget in bytes and the time within which a request has to
 // be received.
 func NewGate(budget int64, timeout time.Duration, metrics *telemetry.Registry) *Gate {
-	return &Gate{budget: NewBudget(budget), timeout: timeout, metrics: metrics, pacer: NewPacer(metrics)}
+	g := &Gate{budget: NewBudget(budget), timeout: timeout, metrics: metrics}
+	g.pacer = NewPacer(g.paced)
+	return g
 }
 
+// Report makes the gate call report when limits have been reached, with the counters and how
+// often, once in ten seconds at most. It must be called before the gate is used.
+func (g *Gate) Report(report func(reached string)) { g.pressure.report = report }
+
+// count counts a limit that was reached.
+func (g *Gate) count(name string) {
+	g.metrics.Add(name, 1)
+	g.pressure.add(name)
+}
+
+func (g *Gate) paced() { g.count("intake.paced") }
+
 // Listen listens on a TCP address for at most limit connections of clients, to be tracked by
-// their server; 0 sets no limit. closed is called for each connection that is closed because
-// of the limit.
-func (g *Gate) Listen(address string, limit int, closed func(remote net.Addr, why Closing)) (*Connections, error) {
-	listener, err := listen(address)
+// their server; 0 sets no limit. bufferBytes is the size of a connection's buffers in the kernel.
+// closed, if set, is called for each connection that is closed because of the limit.
+func (g *Gate) Listen(address string, limit, bufferBytes int, closed func(remote net.Addr, why Closing)) (*Connections, error) {
+	listener, err := listen(address, bufferBytes)
 	if err != nil {
 		return nil, err
 	}
-	return newConnections(listener, limit, NewPacer(g.metrics), func(remote net.Addr, why Closing) {
-		g.metrics.Add("connections."+why.String(), 1)
-		closed(remote, why)
+	return newConnections(listener, limit, NewPacer(g.paced), func(remote net.Addr, why Closing) {
+		g.count("connections." + why.String())
+		if closed != nil {
+			closed(remote, why)
+		}
 	}), nil
 }
 
@@ -168,7 +186,7 @@
 
 func (g *Gate) countRefused(err error) {
 	if reason := Reason(err); reason != "" {
-		g.metrics.Add("intake.refused."+reason, 1)
+		g.count("intake.refused." + reason)
 		if reason == "evicted" {
 			g.metrics.Add("intake.evicted", 1)
 		}
--- a/intake/gate_test.go
+++ b/intake/gate_test.go
@@ -31,7 +31,7 @@
 		closed: make(chan net.Addr, 8), ended: make(chan net.Addr, 8),
 	}
 	s.gate = NewGate(budget, timeout, s.metrics)
-	listener, err := s.gate.Listen("127.0.0.1:0", connections, func(remote net.Addr, why Closing) {
+	listener, err := s.gate.Listen("127.0.0.1:0", connections, 16<<10, func(remote net.Addr, why Closing) {
 		if why == ClosedInProgress {
 			s.ended <- remote
 			return
--- a/intake/metered.go
+++ b/intake/metered.go
@@ -11,14 +11,14 @@
 const bufferFactor = 2
 
 // Metered charges the bodies that next reads whole to the gate's memory until they have been
-// received. Reading fails with an error of this package when a limit is reached.
+// received and there is a place for the request. Reading fails with an error of this package when a limit is reached.
 func (g *Gate) Metered(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength == 0 {
 			next.ServeHTTP(w, r)
 			return
 		}
-		b := &meteredBody{ReadCloser: r.Body, gate: g, w: w}
+		b := &meteredBody{ReadCloser: r.Body, gate: g, w: w, r: r}
 		b.request, b.err = g.budget.Begin(baseBytes, func() { setReadDeadline(w, time.Unix(1, 0)) })
 		defer b.release()
 		metered := *r
@@ -32,6 +32,7 @@
 	io.ReadCloser
 	gate    *Gate
 	w       http.ResponseWriter
+	r       *http.Request
 	request *Request
 	// err is the first error of a limit.
 	err error
@@ -51,6 +52,9 @@
 	} else if err == nil {
 		b.err = b.request.Reserve(bufferFactor * int64(n))
 	}
+	if err == io.EOF {
+		b.err = connectionOf(b.r).work(b.r.Context())
+	}
 	if b.err != nil {
 		return n, b.refuse()
 	}
--- a/intake/pacer.go
+++ b/intake/pacer.go
@@ -4,8 +4,6 @@
 	"container/list"
 	"sync"
 	"time"
-
-	"marjoramlug.example/marjoramlug/telemetry"
 )
 
 const (
@@ -27,7 +25,8 @@
 // have been taken without a pause, the next ones wait, in their order, until a timer has fired:
 // meanwhile all others get the processor. A nil Pacer does not pause. It is safe for concurrent use.
 type Pacer struct {
-	metrics *telemetry.Registry
+	// paced is called for each step that waits.
+	paced func()
 
 	mu sync.Mutex
 	// left is the number of steps until the next pause.
@@ -39,9 +38,9 @@
 	pause time.Duration
 }
 
-// NewPacer returns a pacer.
-func NewPacer(metrics *telemetry.Registry) *Pacer {
-	return &Pacer{metrics: metrics, left: pacerBurst, pause: minPause}
+// NewPacer returns a pacer that calls paced for each step that waits.
+func NewPacer(paced func()) *Pacer {
+	return &Pacer{paced: paced, left: pacerBurst, pause: minPause}
 }
 
 // Take waits until the next step for a client may begin: the handling of a request, of a part of
@@ -63,7 +62,7 @@
 	p.delayed.PushBack(begin)
 	p.startPause()
 	p.mu.Unlock()
-	p.metrics.Add("intake.paced", 1)
+	p.paced()
 	<-begin
 }
 
--- a/intake/pacer_test.go
+++ b/intake/pacer_test.go
@@ -11,13 +11,30 @@
 	"marjoramlug.example/marjoramlug/telemetry"
 )
 
+// TestReportsAreBounded guards against a line in the log for each request of a crowd.
+func TestReportsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var reports []string
+		g := NewGate(1, time.Second, telemetry.New())
+		g.Report(func(reached string) { reports = append(reports, reached) })
+		for range 1000 {
+			g.countRefused(ErrTimeout)
+			g.paced()
+		}
+		time.Sleep(2 * reportPeriod)
+		synctest.Wait()
+		is.Equal(reports, []string{"intake.paced=1000 intake.refused.timeout=1000"})
+	})
+}
+
 // TestPacerPausesBetweenSteps guards against clients whose next requests have always arrived
 // already: without pauses between them nothing else gets the processor.
 func TestPacerPausesBetweenSteps(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		p := NewPacer(telemetry.New())
-		var taken atomic.Int64
+		var taken, paced atomic.Int64
+		p := NewPacer(func() { paced.Add(1) })
 		for range pacerBurst + 2*pacerSteps + 1 {
 			go func() {
 				p.Take()
@@ -29,7 +46,7 @@
 			is.Equal(taken.Load(), want)
 			time.Sleep(minPause)
 		}
-		is.Equal(p.metrics.Counters()["intake.paced"], int64(2*pacerSteps+1))
+		is.Equal(paced.Load(), int64(2*pacerSteps+1))
 		for range pacerBurst { // nothing waits: a burst again
 			p.Take()
 		}
--- a/settings/load.go
+++ b/settings/load.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"math"
 	"os"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"marjoramlug.example/marjoramlug/validation"
 )
 
@@ -87,10 +90,29 @@
 	setDefault(&o.ClockSkew, 2*time.Second)
 }
 
+const (
+	// maxCallerConnections and maxEndpointConnections bound the defaults of
+	// Limits.Connections and Agent.Connections.
+	maxCallerConnections   = 4096
+	maxEndpointConnections = 1024
+	// assumedDescriptors is the limit of descriptors of a process that can't read its own.
+	assumedDescriptors = 1024
+)
+
+// DescriptorLimit returns the number of descriptors that this process may have open.
+func DescriptorLimit() int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return assumedDescriptors
+	}
+	return int(min(limit.Cur, math.MaxInt32))
+}
+
 // ApplyDefaults fills unset fields.
 func (l *Limits) ApplyDefaults() {
 	setDefault(&l.BodyBytes, 16<<20)
 	setDefault(&l.IntakeBytes, max(256<<20, 16*l.BodyBytes))
+	setDefault(&l.Connections, min(DescriptorLimit()/2, maxCallerConnections))
 	setDefault(&l.HeaderBytes, 64<<10)
 	setDefault(&l.TasksPerJob, 1900)
 	setDefault(&l.AnswerBytes, 64<<20)
@@ -105,6 +127,7 @@
 	setDefault(&a.JournalWindow, 10*time.Minute)
 	setDefault(&a.JournalBytes, 32<<20)
 	setDefault(&a.MaxAnswerBytes, 4<<20)
+	setDefault(&a.Connections, min(DescriptorLimit()/4, maxEndpointConnections))
 	setDefault(&a.StopTimeout, 30*time.Second)
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -79,7 +79,10 @@
 	JournalBytes  int64         `yaml:"journal_bytes,omitempty" validate:"gte=0"`
 	// MaxAnswerBytes bounds an endpoint's response. Default 4 MiB.
 	MaxAnswerBytes int64 `yaml:"max_answer_bytes,omitempty" validate:"gte=0"`
-	TLS            TLS   `yaml:"tls,omitempty"`
+	// Connections bounds the open TCP connections to HTTP. Default a quarter of the process's
+	// limit of descriptors, at most 1024: each endpoint keeps one or two.
+	Connections int `yaml:"connections,omitempty" validate:"gte=0"`
+	TLS         TLS `yaml:"tls,omitempty"`
 	// StopTimeout bounds a graceful shutdown. Default 30s.
 	StopTimeout time.Duration `yaml:"stop_timeout,omitempty" validate:"gte=0"`
 }
@@ -148,6 +151,9 @@
 	// IntakeBytes bounds the memory for the bodies of all requests that are being received;
 	// each takes up to twice its size. Default 256 MiB, at least 16 times BodyBytes.
 	IntakeBytes int64 `yaml:"intake_bytes,omitempty" validate:"gte=0"`
+	// Connections bounds the open TCP connections of callers, operators and monitoring. Default
+	// half of the process's limit of descriptors, at most 4096.
+	Connections int `yaml:"connections,omitempty" validate:"gte=0"`
 	// HeaderBytes bounds a request's header. Default 64 KiB.
 	HeaderBytes int `yaml:"header_bytes,omitempty" validate:"gte=0"`
 	// TasksPerJob bounds the number of tasks of a job. Default 1900.
