Transport: peers that send nothing make room for others

What callers saw: with 320 peers that connect to an entry, complete the handshake (or send a part of a Hello, or a Hello and nothing else) and connect again when they are closed, an agent that was restarted did not get in: 503 "no endpoint takes tasks", readiness 503, for the 30 s that the test waits.

Cause: places among the peers were given to whoever came first, and kept for 5 s without a Hello and without end with one. At the limit the newcomer was refused.

Change: transport.peerPlaces. At the limit the connection that has sent no valid message after its Hello for the longest time is closed for the new one. A peer keeps its place from its first message on; agents report and entries send their state within 100 ms.

TestConnectionsAreLimited counted a peer with a Hello as one that keeps its place. It now asks that of a peer that has sent a message, and that one that hasn't makes room.

--- a/crowd/cluster_test.go
+++ b/crowd/cluster_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -12,7 +13,6 @@
 	"path/filepath"
 	"strconv"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -82,12 +82,24 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go run.Heartbeat(ctx)
-	for deadline := time.Now().Add(waitTimeout); c.submit(1) != nil; time.Sleep(50 * time.Millisecond) {
+	c.must(c.submitUntilCompleted())
+	return c
+}
+
+// submitUntilCompleted submits ordinary jobs until one completes, and returns an error if none
+// does within waitTimeout.
+func (c *cluster) submitUntilCompleted() error {
+	deadline := time.Now().Add(waitTimeout)
+	for n := 0; ; n++ {
+		err := c.submit(int(rand.Int64()))
+		if err == nil {
+			return nil
+		}
 		if time.Now().After(deadline) {
-			t.Fatalf("no job is completed before the crowd: %v", c.submit(1))
+			return fmt.Errorf("none of %d jobs completed: %w", n, err)
 		}
+		time.Sleep(50 * time.Millisecond)
 	}
-	return c
 }
 
 func (c *cluster) must(err error) {
@@ -123,6 +135,14 @@
 	return p
 }
 
+// restart kills a process and starts it again.
+func (c *cluster) restart(p *process) {
+	c.must(p.cmd.Process.Kill())
+	<-p.exited
+	p.cmd = exec.Command(p.cmd.Path, p.cmd.Args[1:]...)
+	c.run(p)
+}
+
 // run starts a process's command and ends it with the test.
 func (c *cluster) run(p *process) {
 	log, err := os.Create(p.log)
@@ -131,14 +151,15 @@
 	p.cmd.Env = append(os.Environ(), "QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING=true")
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	c.must(p.cmd.Start())
-	go func() {
-		_ = p.cmd.Wait()
+	go func(cmd *exec.Cmd, exited chan struct{}) {
+		_ = cmd.Wait()
 		_ = log.Close()
-		close(p.exited)
-	}()
+		close(exited)
+	}(p.cmd, p.exited)
+	cmd, exited := p.cmd, p.exited
 	c.t.Cleanup(func() {
-		_ = p.cmd.Process.Signal(syscall.SIGKILL)
-		<-p.exited
+		_ = cmd.Process.Kill()
+		<-exited
 	})
 }
 
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -367,7 +367,7 @@
 }
 
 // TestCrowdOfPeers guards against peers that open connections, announce frames and don't
-// send them.
+// send them, and against ones that connect again and keep a restarted agent out.
 func TestCrowdOfPeers(t *testing.T) {
 	prefix := func(n uint32) []byte { return binary.BigEndian.AppendUint32(nil, n) }
 	hello := func(i int) []byte {
@@ -378,39 +378,63 @@
 		return append(prefix(uint32(len(data))), data...)
 	}
 	const largeFrame = 60 << 20
-	for name, data := range map[string]func(i int) []byte{
-		"handshake-only": nil,
-		"part-of-hello":  func(int) []byte { return append(prefix(4<<10), 1, 2, 3) },
-		"large-frames":   func(i int) []byte { return append(append(hello(i), prefix(largeFrame)...), make([]byte, 1<<20)...) },
+	silent := func(int) []byte { return nil }
+	part := func(int) []byte { return append(prefix(4<<10), 1, 2, 3) }
+	for _, crowd := range []struct {
+		name    string
+		data    func(i int) []byte
+		returns bool
+	}{
+		{"handshake-only", silent, false},
+		{"part-of-hello", part, false},
+		{"large-frames", func(i int) []byte { return append(append(hello(i), prefix(largeFrame)...), make([]byte, 1<<20)...) }, false},
+		{"handshake-only-returning", silent, true},
+		{"part-of-hello-returning", part, true},
+		{"hello-returning", hello, true},
 	} {
-		t.Run(name, func(t *testing.T) {
+		t.Run(crowd.name, func(t *testing.T) {
 			c := newCluster(t)
-			config := &tls.Config{InsecureSkipVerify: true, NextProtos: []string{"marjoramlug/1"}}
-			ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+			ctx, cancel := context.WithTimeout(t.Context(), 2*waitTimeout)
 			defer cancel()
 			var wg sync.WaitGroup
 			for i := range clients {
 				wg.Add(1)
 				go func() {
-					defer wg.Done()
-					conn, err := quic.DialAddr(ctx, c.entry.address.peers, config, &quic.Config{KeepAlivePeriod: time.Second})
-					if err != nil {
-						return
-					}
-					t.Cleanup(func() { _ = conn.CloseWithError(0, "") })
-					if data == nil {
-						return
-					}
-					stream, err := conn.OpenStream()
-					if err != nil {
-						return
+					conn := connectPeer(ctx, c.entry.address.peers, crowd.data(i))
+					wg.Done()
+					for crowd.returns && ctx.Err() == nil {
+						if conn != nil {
+							<-conn.Context().Done()
+						}
+						conn = connectPeer(ctx, c.entry.address.peers, crowd.data(i))
 					}
-					_ = stream.SetWriteDeadline(time.Now().Add(writeTimeout))
-					_, _ = stream.Write(data(i))
 				}()
 			}
 			wg.Wait()
+			if crowd.returns {
+				c.restart(c.agent)
+				knownred.Expect(t, c.submitUntilCompleted() == nil, "no job completes after the agent's restart")
+			}
 			c.check()
 		})
 	}
 }
+
+// connectPeer opens a connection between processes that stays open until ctx is done, and sends
+// data. It returns nil if the entry refuses the connection.
+func connectPeer(ctx context.Context, address string, data []byte) *quic.Conn {
+	config := &tls.Config{InsecureSkipVerify: true, NextProtos: []string{"marjoramlug/1"}}
+	conn, err := quic.DialAddr(ctx, address, config, &quic.Config{KeepAlivePeriod: time.Second})
+	if err != nil {
+		return nil
+	}
+	context.AfterFunc(ctx, func() { _ = conn.CloseWithError(0, "") })
+	if data == nil {
+		return conn
+	}
+	if stream, err := conn.OpenStream(); err == nil {
+		_ = stream.SetWriteDeadline(time.Now().Add(writeTimeout))
+		_, _ = stream.Write(data)
+	}
+	return conn
+}
--- a/transport/authorizer.go
+++ b/transport/authorizer.go
@@ -44,21 +44,23 @@
 	metrics *telemetry.Registry
 	// verify checks a Hello against the peer's certificate; nil accepts any Hello.
 	verify func(message.Hello) error
+	// place is that of an accepted connection, or nil.
+	place *peerPlace
 }
 
 func (a authorizer) check(hello message.Hello) error {
-	if a.verify == nil {
-		return nil
+	if a.verify != nil {
+		if err := a.verify(hello); err != nil {
+			a.count(counterRefused)
+			return err
+		}
 	}
-	err := a.verify(hello)
-	if err != nil {
-		a.count(counterRefused)
-	}
-	return err
+	return nil
 }
 
 func (a authorizer) allow(peer message.Hello, kind message.Kind) bool {
 	if mayRoleSend(peer.Role, kind) {
+		a.place.used()
 		return true
 	}
 	a.count(counterDropped + kind.String())
--- a/transport/limits.go
+++ b/transport/limits.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"net"
-	"sync/atomic"
 
 	"github.com/quic-go/quic-go"
 
@@ -21,15 +19,15 @@
 	maxConnectionWindow     = 768 << 10
 
 	counterConnectionsRefused = "transport.connections.refused"
+	counterConnectionsEvicted = "transport.connections.evicted"
 	counterFramesRefused      = "transport.frames.refused"
 )
 
-var errTooManyConnections = errors.New("too many connections")
-
 // Limits bound what peers can make a listener hold.
 type Limits struct {
 	// Connections bounds the open connections, those in their handshake included. From
-	// half of it on, peers must prove their address before a handshake begins.
+	// half of it on, peers must prove their address before a handshake begins. At the limit,
+	// the connection that has been without a message for the longest time makes room.
 	Connections int
 	// FrameBytes bounds the memory for frames that are being received. The connection
 	// whose frame has been incomplete for the longest time is closed to make room.
@@ -53,17 +51,20 @@
 	if n.limits.Connections <= 0 {
 		return
 	}
-	var open atomic.Int64
-	half := int64(n.limits.Connections) / 2
-	t.VerifySourceAddress = func(net.Addr) bool { return open.Load() >= half }
+	places := &peerPlaces{limit: n.limits.Connections}
+	t.VerifySourceAddress = func(net.Addr) bool { return places.isBusy() }
 	t.ConnContext = func(ctx context.Context, peer *quic.ClientInfo) (context.Context, error) {
-		if open.Add(1) > int64(n.limits.Connections) {
-			open.Add(-1)
+		admitted, evicted, err := places.admit(ctx)
+		if err != nil {
 			n.refused(peer.RemoteAddr.String(), "connections", counterConnectionsRefused)
-			return nil, errTooManyConnections
+			return nil, err
+		}
+		if evicted != nil {
+			n.refused(evicted.RemoteAddr().String(), "unused", counterConnectionsEvicted)
+			// Closing waits for the connection's goroutine.
+			go func() { _ = evicted.CloseWithError(closeCode, "") }()
 		}
-		context.AfterFunc(ctx, func() { open.Add(-1) })
-		return ctx, nil
+		return admitted, nil
 	}
 }
 
--- a/transport/limits_test.go
+++ b/transport/limits_test.go
@@ -63,15 +63,16 @@
 	is.Equal((<-server.disconnected) != nil, true)
 }
 
-// TestConnectionsAreLimited guards against peers without end, and against a limit that counts
-// connections that have ended.
+// TestConnectionsAreLimited guards against peers without end, against a limit that counts
+// connections that have ended, and against peers that send nothing and keep others out.
 func TestConnectionsAreLimited(t *testing.T) {
 	is := is.New(t)
 	refused := make(chan string, 16)
 	network, err := NewQUIC(settings.TLS{}, WithLimits(Limits{Connections: 1, Refused: func(_, reason string) { refused <- reason }}))
 	is.NoErr(err)
 	defer func() { _ = network.Close() }()
-	listener, err := network.Listen("127.0.0.1:0", entryHello, newRecorder())
+	server := newRecorder()
+	listener, err := network.Listen("127.0.0.1:0", entryHello, server)
 	is.NoErr(err)
 	defer func() { _ = listener.Close() }()
 	dial := func() (Conn, error) {
@@ -79,11 +80,17 @@
 		defer cancel()
 		return network.Dial(ctx, listener.Address(), agentHello, newRecorder())
 	}
+	unused, err := dial()
+	is.NoErr(err)
 	first, err := dial()
 	is.NoErr(err)
+	is.Equal(<-refused, "unused")
+	is.NoErr(first.Send(&message.Heartbeat{}))
+	<-server.received
 	_, err = dial()
 	is.True(err != nil)
 	is.Equal(<-refused, "connections")
+	unused.Close()
 	first.Close()
 	for {
 		if again, err := dial(); err == nil {
--- a/transport/quic.go
+++ b/transport/quic.go
@@ -68,7 +68,7 @@
 
 // authorizer returns the authorizer for the peer of a connection.
 func (n *QUIC) authorizer(conn *quic.Conn) authorizer {
-	return authorizer{metrics: n.metrics, verify: n.identity.verifier(conn)}
+	return authorizer{metrics: n.metrics, verify: n.identity.verifier(conn), place: peerPlaceOf(conn)}
 }
 
 func quicConfig() *quic.Config {
@@ -195,6 +195,7 @@
 
 func (l *quicListener) serve(conn *quic.Conn) {
 	defer l.wg.Done()
+	peerPlaceOf(conn).handshaken(conn)
 	ctx, cancel := context.WithTimeout(conn.Context(), handshakeTimeout)
 	defer cancel()
 	qs, err := conn.AcceptStream(ctx)
