Entry: IDs of completed jobs don't keep their request lines

What callers saw: an entry took 165 MB of its 64 MB after 320 connections had sent ordinary jobs with a query of 12 KiB after the path, 60 each, one after the other. On its machine the process would have been ended.

Cause: a job's ID was a part of the request's line, which net/http keeps as one string of up to 16 KiB. Completed jobs are remembered by ID for 60 s, up to 100,000 of them: 1.6 GB.

--- a/agent/http.go
+++ b/agent/http.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"marjoramlug.example/marjoramlug/agent/core"
@@ -127,8 +128,9 @@
 	return nil
 }
 
+// endpointKey copies the names: as parts of the request's line they would keep all of it.
 func endpointKey(r *http.Request) core.EndpointKey {
-	return core.EndpointKey{Service: r.PathValue("service"), Name: r.PathValue("name")}
+	return core.EndpointKey{Service: strings.Clone(r.PathValue("service")), Name: strings.Clone(r.PathValue("name"))}
 }
 
 // checkAnnouncement validates an announcement and sets the host of its address if
--- a/api/caller.go
+++ b/api/caller.go
@@ -184,7 +184,8 @@
 // prepare builds the submission of a job. On failure it writes the response and
 // returns false.
 func (h *CallerHandler) prepare(w http.ResponseWriter, r *http.Request, key message.JobKey, tasks []message.Task) (*message.Submit, bool) {
-	service := r.PathValue("service")
+	// The name outlives the request. As a part of its line, which may be long, it would keep all of it.
+	service := strings.Clone(r.PathValue("service"))
 	for i := range tasks {
 		if err := h.backend.Classify(service, &tasks[i]); err != nil {
 			refuse(w, classifyProblem(err, r.Header.Get(HeaderIdempotencyKey) != ""))
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -222,25 +222,38 @@
 	}
 }
 
-// repeated sends requests in the background, each after the answer to the one before it.
-func repeated(request func() string) write {
+// series sends n requests, each after the answer to the one before it.
+func series(request func() string, n int) write {
 	return func(conn net.Conn, _ int) {
-		_ = conn.SetDeadline(time.Now().Add(2 * waitTimeout))
-		go func() {
-			answers := bufio.NewReader(conn)
-			for range maxPipelined {
-				if _, err := conn.Write([]byte(request())); err != nil {
-					return
-				}
-				resp, err := http.ReadResponse(answers, nil)
-				if err != nil {
-					return
-				}
-				if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-					return
-				}
+		_ = conn.SetDeadline(time.Now().Add(waitTimeout))
+		answers := bufio.NewReader(conn)
+		for range n {
+			if _, err := conn.Write([]byte(request())); err != nil {
+				return
 			}
-		}()
+			resp, err := http.ReadResponse(answers, nil)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// repeated sends requests like series, in the background.
+func repeated(request func() string) write {
+	return func(conn net.Conn, i int) { go series(request, maxPipelined)(conn, i) }
+}
+
+// smallJob returns requests for jobs that take no capacity, of the given number of tasks, with a
+// query of n bytes after the path.
+func smallJob(tasks, n int) func() string {
+	text := fmt.Sprintf(`{"task_spec":"x","best_effort":true,"steps":[{"count":%d,"cpu":1,"mem_mb":1,"est_duration_ms":20}]}`, tasks)
+	query := "?" + strings.Repeat("x", n)
+	return func() string {
+		return header(http.MethodPost, jobPath(int(rand.Int64()))+query, contentLength(len(text))) + text
 	}
 }
 
@@ -310,6 +323,7 @@
 		{"callers-pipelined-no-route", callers, clients, pipelined(get("/none"))},
 		{"callers-pipelined-states", callers, clients, pipelined(func() string { return get(jobPath(int(rand.Int64())))() })},
 		{"callers-repeated-no-route", callers, clients, repeated(get("/none"))},
+		{"callers-long-queries", callers, clients, series(smallJob(1, 12<<10), 60)},
 		{"callers-one-job", callers, clients, once(lastingJob(true))},
 		{"callers-in-progress", callers, clients, once(lastingJob(false))},
 		{"heartbeats-pipelined", runners, clients, pipelined(func() string {
