Entry: an unread copy of a job is refused without a promise

What callers saw: 503, which says that the job was not accepted and never runs, for a copy of a job that was running or had completed, when the copy's body was refused for a limit (evicted, too slow, no memory). Found while reading the refusals for the question whether "not run" stays true.

Cause: the refusal looked at the request only. "Not run" has to hold for all submissions of a job.

Change: before a 503 for a body that was not read the entry asks its core whether the job is open or remembered as completed, here or by another entry's notice, or whether the request may be older than an outage; then it answers 502, after which the caller asks again.

--- a/pool/scheduler/core.go
+++ b/pool/scheduler/core.go
@@ -352,6 +352,13 @@
 	return done
 }
 
+// MayHaveAccepted reports whether a job is open or remembered as completed, here or at another
+// entry, or whether a request on a connection that was accepted at the given time may be so old
+// that its caller has submitted it elsewhere.
+func (c *Core) MayHaveAccepted(id string, connectedAt time.Duration) bool {
+	return c.jobs[id] != nil || c.Completed(id) || c.mayBeResubmitted(connectedAt)
+}
+
 // Ready reports whether at least one endpoint takes tasks.
 func (c *Core) Ready() bool {
 	for _, a := range c.agentList {
