Logs: lines that wait for a slow output are bounded in bytes

What could happen: refusals quote a request's path, an endpoint's name or a state, up to 16 or 32 KiB each; 1,024 lines wait for an output that blocks: 17 MB, and more where characters are escaped, of a machine's 64 MB or more. Each line also cost its length in bandwidth, 160 times a second.

Change: the queue holds 1 MiB at most, further lines are left out and counted as before.

--- a/telemetry/eventlog.go
+++ b/telemetry/eventlog.go
@@ -21,6 +21,8 @@
 	// maxQueuedLines bounds the lines that wait for a slow output; further lines
 	// are omitted.
 	maxQueuedLines = 1024
+	// maxQueuedBytes bounds their size: an ordinary line has some 300 bytes.
+	maxQueuedBytes = 1 << 20
 )
 
 // EventLog is a structured log of decisions and state changes. It never blocks:
@@ -98,6 +100,8 @@
 	closing chan struct{}
 	done    chan struct{}
 	omitted *atomic.Int64
+	// bytes is the size of the lines.
+	bytes atomic.Int64
 }
 
 func newLineQueue(out io.Writer, omitted *atomic.Int64) *lineQueue {
@@ -110,14 +114,24 @@
 
 // Write implements io.Writer.
 func (q *lineQueue) Write(line []byte) (int, error) {
+	size := int64(len(line))
+	if q.bytes.Add(size) > maxQueuedBytes {
+		q.omit(size)
+		return len(line), nil
+	}
 	select {
 	case q.lines <- bytes.Clone(line):
 	default:
-		q.omitted.Add(1)
+		q.omit(size)
 	}
 	return len(line), nil
 }
 
+func (q *lineQueue) omit(size int64) {
+	q.bytes.Add(-size)
+	q.omitted.Add(1)
+}
+
 func (q *lineQueue) run(out io.Writer) {
 	defer close(q.done)
 	for {
@@ -136,6 +150,7 @@
 // writeLine writes one line. An error can be reported only by counting the line
 // as omitted.
 func (q *lineQueue) writeLine(out io.Writer, line []byte) {
+	defer q.bytes.Add(-int64(len(line)))
 	if _, err := out.Write(line); err != nil {
 		q.omitted.Add(1)
 	}
--- a/telemetry/eventlog_test.go
+++ b/telemetry/eventlog_test.go
@@ -48,3 +48,24 @@
 	close(b.release)
 	l.Close()
 }
+
+// TestQueuedLinesAreBoundedInBytes guards against the memory of long lines, such as refusals of
+// requests with long paths, while the output is slow.
+func TestQueuedLinesAreBoundedInBytes(t *testing.T) {
+	b := blockedWriter{make(chan struct{})}
+	l := NewEventLog(b, "entry", log.InfoLevel)
+	for range maxQueuedLines {
+		l.Lifecycle().Str("event", "x").Str("path", strings.Repeat("x", 16<<10)).Msg("")
+	}
+	if queued := l.queue.bytes.Load(); queued > maxQueuedBytes {
+		t.Errorf("%d bytes wait for a blocked output", queued)
+	}
+	if l.TakeOmitted() == 0 {
+		t.Error("no line was omitted although the writer blocked")
+	}
+	close(b.release)
+	l.Close()
+	if queued := l.queue.bytes.Load(); queued != 0 {
+		t.Errorf("%d bytes wait after all lines were written", queued)
+	}
+}
