Agent: starts and stops at its endpoint are bounded

Cause: each start and stop was a goroutine of its own, with a new connection beyond the 16 that are kept; an endpoint's declared capacity allows thousands of such tasks at a time.

A call's time runs from when it is carried out. Polls, which renew leases, don't wait.

--- a/pool/node/agent.go
+++ b/pool/node/agent.go
@@ -48,6 +48,7 @@
 	core     *executor.Core
 	sessions *sessions
 	dialer   *dialer
+	calls    *calls
 	events   chan agentEvent
 	drained  chan struct{}
 	ctx      context.Context
@@ -74,6 +75,7 @@
 		drained: make(chan struct{}),
 		ctx:     ctx, cancel: cancel,
 	}
+	a.calls = &calls{ctx: ctx, post: a.post}
 	self := message.Hello{
 		Role: message.RoleAgent, Name: s.Name, Incarnation: rand.Uint64() | 1,
 		Zone: s.Zone, Region: s.Region, Version: o.Version,
@@ -196,11 +198,12 @@
 func (a *Agent) perform(action executor.Action) {
 	switch action := action.(type) {
 	case executor.StartCall:
-		a.call(action.Timeout, func(ctx context.Context) executor.Event { return a.opts.Endpoint.Start(ctx, action) })
+		a.calls.add(call{action.Timeout, func(ctx context.Context) executor.Event { return a.opts.Endpoint.Start(ctx, action) }})
 	case executor.StopCall:
-		a.call(action.Timeout, func(ctx context.Context) executor.Event { return a.opts.Endpoint.Stop(ctx, action) })
+		a.calls.add(call{action.Timeout, func(ctx context.Context) executor.Event { return a.opts.Endpoint.Stop(ctx, action) }})
 	case executor.PollCall:
-		a.call(action.Timeout, func(ctx context.Context) executor.Event { return a.opts.Endpoint.Poll(ctx, action) })
+		// Polls renew the leases of all runs, so they don't wait behind other calls.
+		go a.calls.carryOut(call{action.Timeout, func(ctx context.Context) executor.Event { return a.opts.Endpoint.Poll(ctx, action) }})
 	case executor.SendReport:
 		a.logEnds(action.Report)
 		a.sessions.send(uint64(action.Session), action.Report)
@@ -217,16 +220,6 @@
 	}
 }
 
-// call carries out a call to the endpoint in a new goroutine and posts its result
-// as an event.
-func (a *Agent) call(timeout time.Duration, request func(context.Context) executor.Event) {
-	go func() {
-		ctx, cancel := context.WithTimeout(a.ctx, timeout)
-		defer cancel()
-		a.post(request(ctx))
-	}()
-}
-
 // releaseSurplus releases the sessions with entries that the agent does not have to
 // serve. It connected to them while preferred entries were unreachable.
 func (a *Agent) releaseSurplus() {
