Agent: the number of its endpoints is bounded

What could happen: an agent of the product's own deployments remembers each endpoint that is announced to it for ten seconds, under any name and with up to 64 KiB; its HTTP interface has no tokens.

Change: beyond 1,024 endpoints, announcements of further ones are ignored and counted. Also: a signal that nobody waits for can't block the lock of the connections (found in the read-through, not seen).

Measured: TestEndpointsAreBounded failed before (1,034 endpoints known); passes.

--- a/agent/core/action.go
+++ b/agent/core/action.go
@@ -84,6 +84,7 @@
 	JournalRequestStale Counter = "agent.journal.stale_request"
 	InquiryAnswered     Counter = "agent.inquiry.answered"
 	EndpointNew         Counter = "agent.endpoint.new"
+	EndpointRefused     Counter = "agent.endpoint.refused"
 	EndpointExpired     Counter = "agent.endpoint.expired"
 	EndpointRemoved     Counter = "agent.endpoint.removed"
 	SessionOpenedCount  Counter = "agent.session.opened"
--- a/agent/core/core_test.go
+++ b/agent/core/core_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -273,3 +274,19 @@
 	is.Equal(len(d.core.journal.starts), 2)
 	is.Equal(d.core.journal.completeSince, testStartTime.Add(time.Second).UnixMilli()+1)
 }
+
+// TestEndpointsAreBounded guards against announcements under ever new names that take the
+// agent's memory, and against a bound that refuses the endpoints that it has.
+func TestEndpointsAreBounded(t *testing.T) {
+	d := newDriver(testOptions())
+	for i := range maxEndpoints + 10 {
+		d.announce(fmt.Sprint("endpoint-", i), 1)
+	}
+	d.announce("endpoint-0", 2)
+	if got := d.core.endpoints(); got != maxEndpoints {
+		t.Errorf("%d endpoints are known", got)
+	}
+	if got := d.core.endpoint(EndpointKey{testService, "endpoint-0"}).info.Slots; got != 2 {
+		t.Errorf("a known endpoint has %d slots after it announced 2", got)
+	}
+}
--- a/agent/core/endpoint.go
+++ b/agent/core/endpoint.go
@@ -59,6 +59,17 @@
 	return infos
 }
 
+// maxEndpoints bounds the endpoints of an agent: hundreds of times as many as a machine runs.
+const maxEndpoints = 1024
+
+func (c *Core) endpoints() int {
+	n := 0
+	for _, s := range c.services {
+		n += len(s.endpoints)
+	}
+	return n
+}
+
 func (c *Core) endpoint(key EndpointKey) *endpoint {
 	s := c.services[key.Service]
 	if s == nil {
@@ -72,12 +83,16 @@
 }
 
 // handleAnnouncement adds or updates an endpoint. A draining agent ignores
-// announcements.
+// announcements, one with maxEndpoints those of further endpoints.
 func (c *Core) handleAnnouncement(now time.Time, e EndpointAnnounced) {
 	if c.draining {
 		return
 	}
 	e.Info.Leaving = false
+	if c.endpoint(EndpointKey{e.Service, e.Info.Name}) == nil && c.endpoints() >= maxEndpoints {
+		c.count(EndpointRefused)
+		return
+	}
 	s := c.services[e.Service]
 	if s == nil {
 		s = &service{name: e.Service}
--- a/intake/connections.go
+++ b/intake/connections.go
@@ -294,7 +294,10 @@
 			to = pipelining
 		}
 		c.places.enter(e, to, now)
-		e.begun <- struct{}{}
+		select {
+		case e.begun <- struct{}{}:
+		default: // nobody waits for an earlier signal any more
+		}
 	}
 }
 
