--- a/intake/metered.go
+++ b/intake/metered.go
@@ -11,7 +11,8 @@
 const bufferFactor = 2
 
 // Metered charges the bodies that next reads whole to the gate's memory until they have been
-// received and there is a place for the request. Reading fails with an error of this package when a limit is reached.
+// received and there is a place for the request. Reading fails with an error of this package
+// when a limit is reached.
 func (g *Gate) Metered(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength == 0 {
