--- a/crowd/own_interface_test.go
+++ b/crowd/own_interface_test.go
@@ -69,7 +69,7 @@
 		t.Run(crowd.name, func(t *testing.T) {
 			c := newSystem(t)
 			play(t, c.entry.address.http, crowd.n, crowd.write)
-			// A state is asked for as well, as jobs that last can take all endpoints.
+			// Jobs that last can take all endpoints: beside them only readiness is asked for.
 			err := c.call(http.MethodGet, c.entry.address.http, "/readyz", "", nil)
 			if err == nil && crowd.name != "in-progress" {
 				err = c.call(http.MethodPost, c.entry.address.http, "/v1/services/demo/jobs", ownJob+"}", nil)
