Intake: a connection waits from the end of its request on

Cause: a connection was noted as waiting twice: by the gate's handler before its answer is sent, and when net/http reported it idle, some time after its client had the answer. A client that was slower in between changed its place in the order with one that was answered later.

Change: the second note is gone. The order follows from the answers.

--- a/intake/connections.go
+++ b/intake/connections.go
@@ -166,8 +166,9 @@
 		switch state {
 		case http.StateClosed, http.StateHijacked:
 			e.remove()
-		case http.StateActive, http.StateIdle:
+		case http.StateActive:
 			// A client that sends a request is served before those that have sent nothing for longer.
+			// From the answer on, the gate's handler has noted that the connection waits.
 			e.wait()
 		}
 		if connState != nil {
