Review: a reset is missed behind a pipelined request

Cause: net/http ends its watch of a connection with the first byte of the next request, and an entry has no other way to learn that the caller has left.

--- a/review/rig/main_test.go
+++ b/review/rig/main_test.go
@@ -29,7 +29,8 @@
 type scenario func(r *record, trouble bool) error
 
 var scenarios = map[string]scenario{
-	"frozen-backlog": frozenBacklog,
+	"frozen-backlog":  frozenBacklog,
+	"pipelined-reset": pipelinedReset,
 }
 
 // TestMain plays the case named by the first argument, and writes what was seen into the folder
