Review: a copy of a cancelled job is run

Cause: entries remember the jobs that have completed, and forget cancelled ones at once.

Result: the rule UNASKED was broken: both tasks start 3.5 s after the cancelling was acknowledged; with TROUBLE=0 it held.

--- a/review/rig/main_test.go
+++ b/review/rig/main_test.go
@@ -29,6 +29,7 @@
 type scenario func(r *record, trouble bool) error
 
 var scenarios = map[string]scenario{
+	"cancelled-copy":  cancelledCopy,
 	"frozen-backlog":  frozenBacklog,
 	"pipelined-reset": pipelinedReset,
 }
