Review: a cancelling is lost after an entry's restart

Cause: for the 3 s of QUIC's idle timeout the other entries ask a connection to the killed process, and take its silence for the answer that the job is unknown.

--- a/review/rig/main_test.go
+++ b/review/rig/main_test.go
@@ -29,9 +29,10 @@
 type scenario func(r *record, trouble bool) error
 
 var scenarios = map[string]scenario{
-	"cancelled-copy":  cancelledCopy,
-	"frozen-backlog":  frozenBacklog,
-	"pipelined-reset": pipelinedReset,
+	"cancelled-copy":   cancelledCopy,
+	"restarted-cancel": restartedCancel,
+	"frozen-backlog":   frozenBacklog,
+	"pipelined-reset":  pipelinedReset,
 }
 
 // TestMain plays the case named by the first argument, and writes what was seen into the folder
