--- a/review/rig/main_test.go
+++ b/review/rig/main_test.go
@@ -31,6 +31,7 @@
 var scenarios = map[string]scenario{
 	"cancelled-copy":   cancelledCopy,
 	"restarted-cancel": restartedCancel,
+	"dropped-route":    droppedRoute,
 	"frozen-backlog":   frozenBacklog,
 	"pipelined-reset":  pipelinedReset,
 }
